A gateway on the users' platform: the thin whole path

Cause: nothing of the product ran on the users' machines. Ruled out: agents first (a dead agent must not cost a live endpoint; they need the direct path as fallback anyway).

--- /dev/null
+++ b/cmd/dunlinpulley-router/main.go
@@ -0,0 +1,16 @@
+// Command dunlinpulley-router runs one gateway on the users' platform: it
+// forwards requests to endpoints that have no agent. See --help for its settings.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/settings"
+	"github.com/dunlinpulley/dunlinpulley/platform/wiring"
+)
+
+func main() {
+	err := wiring.RouterCommand().Run(context.Background(), os.Args)
+	os.Exit(settings.ExitCode(os.Stderr, err))
+}
