Gateways tell each other what they have in progress; split by demand; session homes

Cause: on the grown sites each of 23 gateways saw a twenty-third of each endpoint's load, and requests of one session went everywhere. Ruled out: own memory of parts alone (each gateway meets a session every half minute). Change: digests by datagram, a split of the endpoints whose size follows the long outputs in progress, two rendezvous homes a session; rank is the account's tier, then the route's, which ended the preemptions out of order (TIER). Conclusion: needed, but overload is still not turned away.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,7 +131,7 @@
 
 func (a *attempt) encode() []byte {
 	c := a.call
-	out := Outgoing{Endpoint: a.ticket.Endpoint.ID, Left: time.Until(c.deadline), Tier: c.tier, After: c.lastID}
+	out := Outgoing{Endpoint: a.ticket.Endpoint.ID, Left: time.Until(c.deadline), Rank: c.rank, After: c.lastID}
 	if c.account != nil {
 		out.Account = c.account.Name
 	}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -25,6 +25,13 @@
 		return
 	}
 	g.config.Store(c)
+	g.mu.Lock()
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			g.table.SetEngine(name, service.Engine.KVTokens)
+		}
+	}
+	g.mu.Unlock()
 	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "keyed", c.Keyed)
 	g.wake()
 }
@@ -105,3 +112,17 @@
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
+
+// Digest returns what this process has in progress, for its peers.
+func (g *Gateway) Digest() []placement.PeerLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Digest()
+}
+
+// PeerLoads takes what a peer has in progress.
+func (g *Gateway) PeerLoads(peer string, loads []placement.PeerLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.PeerLoads(peer, loads)
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,7 +32,7 @@
 	config  *routing.Config
 	route   *routing.Route
 	account *routing.Account
-	tier    int
+	rank    int
 	body    []byte
 	arrived time.Time
 	// deadline is when the caller gets a final answer at the latest.
@@ -86,7 +86,7 @@
 			return g.reject(c, http.StatusUnauthorized, "key not known")
 		}
 	}
-	c.tier = routing.Tier(c.route, c.account)
+	c.rank = c.config.Rank(c.route, c.account)
 	c.setDeadline()
 	return g.readBody(c)
 }
@@ -192,7 +192,7 @@
 // place chooses an endpoint, and waits for one as long as there is none.
 func (g *Gateway) place(ctx context.Context, c *call, service string) (*placement.Ticket, string) {
 	query := placement.Query{
-		Service: service, Tier: c.tier, Parts: c.request.Parts, Output: c.request.Output, Exclude: c.tried,
+		Service: service, Rank: c.rank, Parts: c.request.Parts, Output: c.request.Output, Exclude: c.tried,
 	}
 	for {
 		g.mu.Lock()
@@ -275,7 +275,7 @@
 	if c.account != nil {
 		account = c.account.Name
 	}
-	klog.InfoS("request", "request", c.request.ID, "route", c.route.Name, "tier", c.tier, "account", account,
+	klog.InfoS("request", "request", c.request.ID, "route", c.route.Name, "rank", c.rank, "account", account,
 		"tried", c.tried, "runs", c.runs, "first_ms", c.first.Milliseconds(),
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -32,8 +32,8 @@
 	Account  string
 	// Left is the time in which an answer is useful.
 	Left time.Duration
-	// Tier is the request's rank.
-	Tier int
+	// Rank orders requests; 0 is the most urgent.
+	Rank int
 	// After is the last event that was forwarded of a stream that goes on.
 	After string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/bootclock"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/peers"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
@@ -46,6 +47,7 @@
 	source   Source
 	validity *validity.Validity
 	pool     *endpointconn.Pool
+	peers    *peers.Exchange
 	started  time.Time
 
 	config   atomic.Pointer[routing.Config]
@@ -65,7 +67,7 @@
 
 // New returns a gateway. Start starts it.
 func New(s Settings, d Dialect, source Source) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		settings: s,
 		dialect:  d,
 		source:   source,
@@ -77,6 +79,8 @@
 		leaving:  make(map[string]domain.Instant),
 		changed:  make(chan struct{}),
 	}
+	g.peers = peers.NewExchange(s.PeerAddress, s.PeerSeeds, g)
+	return g
 }
 
 // cacheLife is how long a prompt part is expected to stay cached at an engine.
@@ -91,6 +95,11 @@
 	}
 	go g.source.Run(work, g)
 	go g.sweep(work)
+	go func() {
+		if err := g.peers.Run(work); err != nil {
+			klog.ErrorS(err, "peers not heard")
+		}
+	}()
 	klog.InfoS("started", "name", g.settings.Name, "data_centre", g.settings.DataCentre,
 		"listen", g.settings.Listen, "store", g.settings.Store)
 	<-ctx.Done()
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// homeDiscount is the share of a prompt that is expected to be read at its
-	// rendezvous endpoint, where other processes have sent the same parts.
-	homeDiscount = 0.5
 	// sweepInterval is the time between two removals of expired parts.
 	sweepInterval = 5 * time.Second
 )
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -46,9 +46,8 @@
 	Endpoint
 	rank uint64 // order of the endpoints that is the same in every process
 
-	inFlight int // requests sent and not ended
-	unread   int // prompt tokens sent in requests without a first event
-	decoding int // requests in flight that make many tokens from a short prompt
+	own   work // requests of this process in progress
+	peers work // those of the peers, as they last told
 
 	reported         Load
 	reportedAt       domain.Instant
@@ -64,14 +63,38 @@
 	parts map[uint64]domain.Instant // prompt parts placed here, with the last use
 }
 
+// work is what requests in progress ask of an endpoint.
+type work struct {
+	inFlight int // requests sent and not ended
+	decoding int // of these, requests that make many tokens from a short prompt
+	unread   int // prompt tokens of requests without a first event
+	memory   int // tokens of engine memory
+}
+
+func (w *work) add(other work, sign int) {
+	w.inFlight += sign * other.inFlight
+	w.decoding += sign * other.decoding
+	w.unread += sign * other.unread
+	w.memory += sign * other.memory
+}
+
 // Table is the set of known endpoints. It is not safe for concurrent use.
 type Table struct {
 	settings Settings
 	byID     map[string]*state
-	services map[string][]*state // by rank
+	services map[string]*service
+	byHash   map[uint32]*state
+	peers    map[string][]PeerLoad
 	swept    domain.Instant
 }
 
+// service is the endpoints of one service.
+type service struct {
+	endpoints []*state // by rank
+	split     split
+	memory    int // of one engine in tokens; 0 if not known
+}
+
 // Settings are the figures that placement works with.
 type Settings struct {
 	// DataCentre is this process's own; equal endpoints there go first.
@@ -82,7 +105,13 @@
 
 // New returns an empty table.
 func New(s Settings) *Table {
-	return &Table{settings: s, byID: make(map[string]*state), services: make(map[string][]*state)}
+	return &Table{
+		settings: s,
+		byID:     make(map[string]*state),
+		services: make(map[string]*service),
+		byHash:   make(map[uint32]*state),
+		peers:    make(map[string][]PeerLoad),
+	}
 }
 
 // Put adds an endpoint or replaces what the registry says of it.
@@ -95,13 +124,36 @@
 	t.Remove(e.ID)
 	s := &state{Endpoint: e, rank: xxhash.Sum64String(e.ID), heard: now, parts: make(map[uint64]domain.Instant)}
 	t.byID[e.ID] = s
-	list := append(t.services[e.Service], s)
-	slices.SortFunc(list, func(a, b *state) int {
+	t.byHash[s.hash()] = s
+	for _, loads := range t.peers {
+		for _, l := range loads {
+			if l.Endpoint == s.hash() {
+				s.peers.add(l.work(), 1)
+			}
+		}
+	}
+	of := t.service(e.Service)
+	of.endpoints = append(of.endpoints, s)
+	slices.SortFunc(of.endpoints, func(a, b *state) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID))
 	})
-	t.services[e.Service] = list
 }
 
+func (t *Table) service(name string) *service {
+	of := t.services[name]
+	if of == nil {
+		of = &service{}
+		t.services[name] = of
+	}
+	return of
+}
+
+// SetEngine notes the memory of each engine of a service, in tokens.
+func (t *Table) SetEngine(name string, memory int) { t.service(name).memory = memory }
+
+// hash is the endpoint's name in digests.
+func (s *state) hash() uint32 { return uint32(s.rank) }
+
 // Remove forgets an endpoint.
 func (t *Table) Remove(id string) {
 	s := t.byID[id]
@@ -109,7 +161,9 @@
 		return
 	}
 	delete(t.byID, id)
-	t.services[s.Service] = slices.DeleteFunc(t.services[s.Service], func(o *state) bool { return o == s })
+	delete(t.byHash, s.hash())
+	of := t.services[s.Service]
+	of.endpoints = slices.DeleteFunc(of.endpoints, func(o *state) bool { return o == s })
 }
 
 // Endpoint returns what the registry says of an endpoint.
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -43,14 +43,15 @@
 	k.state.heard = now
 	if !k.first {
 		k.first = true
-		k.state.unread -= k.unread
+		k.state.own.unread -= k.work.unread
+		k.work.unread = 0
 	}
 }
 
 // Report notes the load that an endpoint told.
 func (t *Table) Report(now domain.Instant, k *Ticket, load Load) {
 	s := k.state
-	s.reported, s.reportedAt, s.inFlightAtReport, s.hasReport = load, now, s.inFlight, true
+	s.reported, s.reportedAt, s.inFlightAtReport, s.hasReport = load, now, s.own.inFlight, true
 	if load.Slots > 0 && s.Slots == 0 {
 		s.Slots = load.Slots
 	}
@@ -63,13 +64,7 @@
 	}
 	k.ended = true
 	s := k.state
-	s.inFlight--
-	if !k.first {
-		s.unread -= k.unread
-	}
-	if k.decoding {
-		s.decoding--
-	}
+	s.own.add(k.work, -1)
 	failed := 0.0
 	switch result {
 	case ResultServed:
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
-	"github.com/dunlinpulley/dunlinpulley/internal/policy"
 )
 
 // Query describes a request to place.
 type Query struct {
 	Service string
-	Tier    int
+	// Rank orders requests; 0 is the most urgent.
+	Rank int
 	// Parts are the parts of the prompt, in order; none for plain services.
 	Parts []Part
 	// Output is the most tokens that the request may make.
@@ -27,12 +27,13 @@
 	Score float64
 	// Candidates is the number of endpoints that were compared.
 	Candidates int
+	// Split is the number of endpoints that long outputs went to first.
+	Split int
 
-	state    *state
-	unread   int
-	decoding bool
-	first    bool
-	ended    bool
+	state *state
+	work  work
+	first bool
+	ended bool
 }
 
 const (
@@ -45,15 +46,15 @@
 	// crossingCost is the cost of a request on the other side of the split, in
 	// shares of a full endpoint.
 	crossingCost = 0.5
-	// decodeShare is the share of the endpoints that long outputs go to first.
-	decodeShare = 0.25
-	// decodeRatio is the prompt tokens for each output token below which a
-	// request suffers from its neighbours' prompts more than it makes them suffer.
-	decodeRatio = 20
 	// remoteCost breaks ties in favour of the own data centre.
 	remoteCost = 0.02
 	// failureCost is the cost of an endpoint whose recent requests all failed.
 	failureCost = 2.0
+	// memoryCost is the cost of an endpoint for each share of its memory over memoryShare.
+	memoryCost = 4.0
+	// memoryShare is the share of an engine's memory that requests may need
+	// before it costs; the rest keeps prompts of before.
+	memoryShare = 0.6
 	// defaultSlots is used for an endpoint that declares none.
 	defaultSlots = 8
 	// reportLife is how long a reported load is used.
@@ -63,26 +64,60 @@
 // Pick chooses an endpoint and counts the request there. It returns nil when no
 // endpoint may be used.
 func (t *Table) Pick(now domain.Instant, q Query) *Ticket {
-	all := t.services[q.Service]
-	usable := t.usable(now, all, q)
+	of := t.services[q.Service]
+	if of == nil {
+		return nil
+	}
+	usable := t.usable(now, of.endpoints, q)
 	if len(usable) == 0 {
 		return nil
 	}
+	if len(q.Parts) == 0 {
+		return t.pickPlain(now, usable, q)
+	}
+	return t.pickEngine(now, of, usable, q)
+}
+
+func (t *Table) pickPlain(now domain.Instant, usable []*state, q Query) *Ticket {
+	var best *state
+	var bestScore float64
+	for _, s := range usable {
+		if score := t.baseScore(now, s); best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return t.place(best, work{inFlight: 1}, Ticket{Score: bestScore, Candidates: len(usable)})
+}
+
+func (t *Table) pickEngine(now domain.Instant, of *service, usable []*state, q Query) *Ticket {
+	open := slices.DeleteFunc(slices.Clone(of.endpoints), func(s *state) bool { return s.Draining })
+	size := of.split.update(now, open)
 	decode := decodeHeavy(q)
-	split := decodeEndpoints(len(all))
-	home := t.home(all, q, split)
+	side := open[size:]
+	if decode && size > 0 {
+		side = open[:size]
+	}
+	homes := homes(side, q.Parts)
 	var best *state
 	var bestScore float64
+	var bestUncached int
 	for _, s := range usable {
-		score := t.score(now, s, q, s == home)
-		if len(q.Parts) > 0 && split > 0 && (slices.Index(all, s) < split) != decode {
+		uncached := t.uncached(now, s, q.Parts)
+		score := t.baseScore(now, s) + s.memoryScore(of.memory, q) +
+			(float64(s.own.unread+s.peers.unread)+float64(uncached)*uncachedWeight*homes.discount(s))/prefillHorizon
+		if size > 0 && !slices.Contains(side, s) {
 			score += crossingCost
 		}
 		if best == nil || score < bestScore {
-			best, bestScore = s, score
+			best, bestScore, bestUncached = s, score, uncached
 		}
 	}
-	return t.place(now, best, q, decode, bestScore, len(usable))
+	w := work{inFlight: 1, unread: int(float64(bestUncached) * homes.discount(best)), memory: q.memory()}
+	if decode {
+		w.decoding = 1
+	}
+	t.remember(now, best, q.Parts)
+	return t.place(best, w, Ticket{Score: bestScore, Candidates: len(usable), Split: size})
 }
 
 // usable filters the endpoints that may have a request: those neither draining
@@ -104,28 +139,22 @@
 	return open
 }
 
-func (t *Table) score(now domain.Instant, s *state, q Query, home bool) float64 {
-	score := float64(s.demand(now)) / float64(s.slots())
-	score += s.failures * failureCost
+// baseScore is the share of an endpoint's slots in use, and what speaks against it.
+func (t *Table) baseScore(now domain.Instant, s *state) float64 {
+	score := float64(s.demand(now))/float64(s.slots()) + s.failures*failureCost
 	if s.DataCentre != t.settings.DataCentre {
 		score += remoteCost
 	}
-	if len(q.Parts) == 0 {
-		return score
-	}
-	uncached := float64(t.uncached(now, s, q.Parts))
-	if home {
-		uncached *= homeDiscount
-	}
-	return score + (float64(s.unread)+uncached*uncachedWeight)/prefillHorizon
+	return score
 }
 
 // demand estimates the requests that run or wait at an endpoint, of all processes.
 func (s *state) demand(now domain.Instant) int {
+	told := s.own.inFlight + s.peers.inFlight
 	if !s.hasReport || now.Sub(s.reportedAt) > reportLife {
-		return s.inFlight
+		return told
 	}
-	return max(s.reported.Running+s.reported.Waiting+s.inFlight-s.inFlightAtReport, s.inFlight)
+	return max(s.reported.Running+s.reported.Waiting+s.own.inFlight-s.inFlightAtReport, told)
 }
 
 func (s *state) slots() int {
@@ -135,59 +164,20 @@
 	return defaultSlots
 }
 
-func (t *Table) place(now domain.Instant, s *state, q Query, decode bool, score float64, candidates int) *Ticket {
-	ticket := &Ticket{Endpoint: s.Endpoint, Score: score, Candidates: candidates, state: s, decoding: decode}
-	ticket.unread = t.uncached(now, s, q.Parts)
-	if s.inFlight == 0 {
-		s.asked = now
-	}
-	s.inFlight++
-	s.unread += ticket.unread
-	if decode {
-		s.decoding++
-	}
-	t.remember(now, s, q.Parts)
-	return ticket
-}
-
-// decodeHeavy reports whether a request makes many tokens from a short prompt.
-func decodeHeavy(q Query) bool {
-	prompt := 0
-	for _, p := range q.Parts {
-		prompt += p.Tokens
-	}
-	return q.Output > 0 && prompt < decodeRatio*q.Output
-}
+// memory is the engine memory that a request needs beside the parts that it
+// shares, in tokens.
+func (q Query) memory() int { return q.Parts[len(q.Parts)-1].Tokens + q.Output }
 
-// decodeEndpoints returns how many endpoints of a service, in the order of
-// their ranks, long outputs go to first.
-func decodeEndpoints(n int) int {
-	if n < 2 {
+func (s *state) memoryScore(memory int, q Query) float64 {
+	if memory <= 0 {
 		return 0
 	}
-	return max(1, int(float64(n)*decodeShare+0.5))
+	share := float64(s.own.memory+s.peers.memory+q.memory()) / float64(memory)
+	return max(share-memoryShare, 0) * memoryCost
 }
 
-// home returns the endpoint that a request's shared parts belong to by
-// rendezvous hashing, on the request's side of the split.
-func (t *Table) home(all []*state, q Query, split int) *state {
-	if len(q.Parts) < 2 {
-		return nil
-	}
-	side := all[split:]
-	if decodeHeavy(q) && split > 0 {
-		side = all[:split]
-	}
-	key := q.Parts[len(q.Parts)-2].ID
-	var best *state
-	var bestScore uint64
-	for _, s := range side {
-		if s.Draining {
-			continue
-		}
-		if score := policy.Mix(s.rank ^ policy.Mix(key)); best == nil || score > bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
+func (t *Table) place(s *state, w work, ticket Ticket) *Ticket {
+	ticket.Endpoint, ticket.state, ticket.work = s.Endpoint, s, w
+	s.own.add(w, 1)
+	return &ticket
 }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -108,6 +108,8 @@
 
 	routes   map[string][]*Route
 	accounts map[string]*Account
+	// routeTiers is one more than the lowest tier of a route.
+	routeTiers int
 }
 
 // New indexes a configuration.
@@ -126,6 +128,7 @@
 	for _, r := range routes {
 		host := canonicalHost(r.Host)
 		c.routes[host] = append(c.routes[host], r)
+		c.routeTiers = max(c.routeTiers, r.Tier+1)
 	}
 	for _, list := range c.routes {
 		// The longest prefix comes first, so that the first match is the route.
@@ -157,12 +160,14 @@
 	return c.accounts[key]
 }
 
-// Tier returns the tier of a request: the account's if it has one, else the route's.
-func Tier(r *Route, a *Account) int {
-	if a != nil && a.HasTier {
-		return a.Tier
+// Rank orders a request among all: by the account's tier, and within it by the
+// route's, so that two accounts' requests never invert and a request class is
+// still told from another of the same account. 0 is the most urgent.
+func (c *Config) Rank(r *Route, a *Account) int {
+	if a == nil || !a.HasTier {
+		return r.Tier
 	}
-	return r.Tier
+	return a.Tier*c.routeTiers + r.Tier
 }
 
 // canonicalHost strips the port and folds the case of a host name.
