Requests wait here until an endpoint can start them in time; long prompts stay at their session's homes

Ruled out: too few endpoints for long outputs (the split grew to 29 of 40 and changed nothing). Change: placement admits by what waits at an endpoint; internal/waitqueue; the request's own part is never taken as cached.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -33,7 +33,6 @@
 	}
 	g.mu.Unlock()
 	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "keyed", c.Keyed)
-	g.wake()
 }
 
 // Confirmed notes that the configuration was the newest at a time.
@@ -50,7 +49,6 @@
 		klog.InfoS("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Address,
 			"data_centre", e.DataCentre, "slots", e.Slots, "draining", e.Draining, "start", e.Start)
 	}
-	g.wake()
 }
 
 // Gone takes an endpoint that has no entry any more.
@@ -105,14 +103,6 @@
 	}
 }
 
-// wake lets requests that wait for an endpoint look again.
-func (g *Gateway) wake() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	close(g.changed)
-	g.changed = make(chan struct{})
-}
-
 // Digest returns what this process has in progress, for its peers.
 func (g *Gateway) Digest() []placement.PeerLoad {
 	g.mu.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,10 +40,12 @@
 	// patience is when the caller itself gives up.
 	patience time.Time
 
-	tried   []string // endpoints that have been sent the request or could not be reached
-	runs    int      // endpoints that may have run it
-	sends   int      // endpoints that it was sent to
-	started bool     // the caller has got the head of an answer
+	ticket  *placement.Ticket // of the last attempt, nil before it
+	placed  time.Duration     // from arrival to the first placement
+	tried   []string          // endpoints that have been sent the request or could not be reached
+	runs    int               // endpoints that may have run it
+	sends   int               // endpoints that it was sent to
+	started bool              // the caller has got the head of an answer
 	first   time.Duration
 	lastID  string    // last event forwarded of a stream
 	cause   string    // why the last attempt ended, for the log
@@ -145,6 +147,10 @@
 			g.giveUp(c, refused)
 			return
 		}
+		if c.ticket == nil {
+			c.placed = time.Since(c.arrived)
+		}
+		c.ticket = ticket
 		end := g.attempt(ctx, c, service, ticket)
 		if end == attemptAnswered {
 			return
@@ -189,37 +195,6 @@
 	return true
 }
 
-// place chooses an endpoint, and waits for one as long as there is none.
-func (g *Gateway) place(ctx context.Context, c *call, service string) (*placement.Ticket, string) {
-	query := placement.Query{
-		Service: service, Rank: c.rank, Parts: c.request.Parts, Output: c.request.Output, Exclude: c.tried,
-	}
-	for {
-		g.mu.Lock()
-		now := g.now()
-		g.dropLeft(now)
-		ticket := g.table.Pick(now, query)
-		changed := g.changed
-		g.mu.Unlock()
-		if ticket != nil {
-			return ticket, ""
-		}
-		if len(c.tried) > 0 {
-			return nil, c.cause
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, "no endpoint"
-		case <-time.After(waitForEndpoint):
-			return nil, "no endpoint"
-		}
-	}
-}
-
-// waitForEndpoint is how long a request waits for an endpoint of a service that has none.
-const waitForEndpoint = 500 * time.Millisecond
-
 // giveUp gives a request its final answer. What it says of the request having
 // run is true: 503 only if it was not and will not be run.
 func (g *Gateway) giveUp(c *call, cause string) {
@@ -275,7 +250,13 @@
 	if c.account != nil {
 		account = c.account.Name
 	}
+	ticket := placement.Ticket{}
+	if c.ticket != nil {
+		ticket = *c.ticket
+	}
 	klog.InfoS("request", "request", c.request.ID, "route", c.route.Name, "rank", c.rank, "account", account,
-		"tried", c.tried, "runs", c.runs, "first_ms", c.first.Milliseconds(),
+		"tried", c.tried, "runs", c.runs, "placed_ms", c.placed.Milliseconds(), "score", ticket.Score,
+		"split", ticket.Split, "own_side", ticket.OwnSide, "home", ticket.Home, "demand", ticket.Demand,
+		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(),
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
 	"github.com/dunlinpulley/dunlinpulley/internal/validity"
+	"github.com/dunlinpulley/dunlinpulley/internal/waitqueue"
 )
 
 const (
@@ -60,7 +61,8 @@
 	leaving map[string]domain.Instant // endpoints without an entry that are still used, until then
 	lost    bool                      // the registry can't be read
 	back    domain.Instant            // when it could be read again
-	changed chan struct{}             // closed when an endpoint may have become free
+	queue   waitqueue.Queue
+	waiters map[*waitqueue.Waiter]*waiting
 
 	caller, ready *http.Server
 }
@@ -77,7 +79,7 @@
 		table:    placement.New(placement.Settings{DataCentre: s.DataCentre, CacheLife: cacheLife}),
 		budgets:  make(map[string]*retrybudget.Budget),
 		leaving:  make(map[string]domain.Instant),
-		changed:  make(chan struct{}),
+		waiters:  make(map[*waitqueue.Waiter]*waiting),
 	}
 	g.peers = peers.NewExchange(s.PeerAddress, s.PeerSeeds, g)
 	return g
@@ -95,6 +97,7 @@
 	}
 	go g.source.Run(work, g)
 	go g.sweep(work)
+	go g.dispatch(work)
 	go func() {
 		if err := g.peers.Run(work); err != nil {
 			klog.ErrorS(err, "peers not heard")
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -11,25 +11,27 @@
 	sweepInterval = 5 * time.Second
 )
 
-// uncached estimates the prompt tokens that an endpoint has to read: all from
-// the first part on that it has not been given lately.
-func (t *Table) uncached(now domain.Instant, s *state, parts []Part) int {
-	tokens, missed := 0, false
-	for _, p := range parts {
+// unread estimates the prompt tokens that an endpoint has to read: the last
+// part, which is the request's own, and the shared ones that it is not known to
+// have been given lately. discount is the share of these that it is expected
+// not to have been given by others either.
+func (t *Table) unread(now domain.Instant, s *state, parts []Part, discount float64) float64 {
+	shared, missed := 0, false
+	for _, p := range parts[:len(parts)-1] {
 		used, ok := s.parts[p.ID]
 		if !ok || now.Sub(used) > t.settings.CacheLife {
 			missed = true
 		}
 		if missed {
-			tokens += p.Tokens
+			shared += p.Tokens
 		}
 	}
-	return tokens
+	return float64(shared)*discount + float64(parts[len(parts)-1].Tokens)
 }
 
 // remember notes the parts that an endpoint is about to read.
 func (t *Table) remember(now domain.Instant, s *state, parts []Part) {
-	for _, p := range parts {
+	for _, p := range parts[:len(parts)-1] {
 		s.parts[p.ID] = now
 	}
 	if now.Sub(t.swept) < sweepInterval {
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -37,6 +37,18 @@
 	return h
 }
 
+// number is the place of an endpoint among the homes, from 1; 0 for others.
+func (h homeSet) number(s *state) int {
+	switch s {
+	case h.first:
+		return 1
+	case h.second:
+		return 2
+	default:
+		return 0
+	}
+}
+
 // discount is the share of the uncached tokens that an endpoint is expected to read.
 func (h homeSet) discount(s *state) float64 {
 	switch s {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -16,6 +16,8 @@
 	Parts []Part
 	// Output is the most tokens that the request may make.
 	Output int
+	// Target is the time to the first event within which the answer is useful; 0 if none.
+	Target time.Duration
 	// Exclude are endpoints that have had the request.
 	Exclude []string
 }
@@ -29,6 +31,16 @@
 	Candidates int
 	// Split is the number of endpoints that long outputs went to first.
 	Split int
+	// OwnSide is whether the endpoint is on the request's side of the split.
+	OwnSide bool
+	// Home is 1 or 2 for an endpoint where the session belongs, else 0.
+	Home int
+	// Demand is the requests that were estimated to run or wait there.
+	Demand int
+	// Backlog is the prompt tokens that were estimated to wait there.
+	Backlog int
+	// Unread is the prompt tokens that the endpoint was expected to read for the request.
+	Unread int
 
 	state *state
 	work  work
@@ -37,9 +49,9 @@
 }
 
 const (
-	// uncachedWeight is the cost of a prompt token to read beside one that waits
+	// unreadWeight is the cost of a prompt token to read beside one that waits
 	// to be read: reading also delays the streams that run there.
-	uncachedWeight = 6.0
+	unreadWeight = 6.0
 	// prefillHorizon is the prompt tokens that cost as much as a full endpoint,
 	// about 0.4 s of reading at the engines' declared rates.
 	prefillHorizon = 40_000.0
@@ -62,7 +74,7 @@
 )
 
 // Pick chooses an endpoint and counts the request there. It returns nil when no
-// endpoint may be used.
+// endpoint can start the request in time.
 func (t *Table) Pick(now domain.Instant, q Query) *Ticket {
 	of := t.services[q.Service]
 	if of == nil {
@@ -82,10 +94,16 @@
 	var best *state
 	var bestScore float64
 	for _, s := range usable {
+		if !s.admitsPlain(now) {
+			continue
+		}
 		if score := t.baseScore(now, s); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
+	if best == nil {
+		return nil
+	}
 	return t.place(best, work{inFlight: 1}, Ticket{Score: bestScore, Candidates: len(usable)})
 }
 
@@ -99,25 +117,48 @@
 	}
 	homes := homes(side, q.Parts)
 	var best *state
-	var bestScore float64
-	var bestUncached int
+	var chosen position
 	for _, s := range usable {
-		uncached := t.uncached(now, s, q.Parts)
-		score := t.baseScore(now, s) + s.memoryScore(of.memory, q) +
-			(float64(s.own.unread+s.peers.unread)+float64(uncached)*uncachedWeight*homes.discount(s))/prefillHorizon
-		if size > 0 && !slices.Contains(side, s) {
-			score += crossingCost
+		p := position{ownSide: size == 0 || slices.Contains(side, s), home: homes.number(s)}
+		if !s.admits(now, of, q, p) {
+			continue
 		}
-		if best == nil || score < bestScore {
-			best, bestScore, bestUncached = s, score, uncached
+		p.unread = t.unread(now, s, q.Parts, homes.discount(s))
+		p.score = t.engineScore(now, of, s, q, p)
+		if best == nil || p.score < chosen.score {
+			best, chosen = s, p
 		}
 	}
-	w := work{inFlight: 1, unread: int(float64(bestUncached) * homes.discount(best)), memory: q.memory()}
+	if best == nil {
+		return nil
+	}
+	w := work{inFlight: 1, unread: int(chosen.unread), memory: q.memory()}
 	if decode {
 		w.decoding = 1
 	}
 	t.remember(now, best, q.Parts)
-	return t.place(best, w, Ticket{Score: bestScore, Candidates: len(usable), Split: size})
+	return t.place(best, w, Ticket{
+		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
+		Home: chosen.home, Demand: best.demand(now),
+	})
+}
+
+// position is how an endpoint stands to a request.
+type position struct {
+	ownSide bool
+	home    int     // 1 or 2 for a home of the request's session, else 0
+	unread  float64 // prompt tokens that it is expected to read
+	score   float64
+}
+
+// engineScore is the cost of a request at an engine, in shares of a full one.
+func (t *Table) engineScore(now domain.Instant, of *service, s *state, q Query, p position) float64 {
+	score := t.baseScore(now, s) + s.memoryScore(of.memory, q)
+	score += (float64(s.backlog()) + p.unread*unreadWeight) / prefillHorizon
+	if !p.ownSide {
+		score += crossingCost
+	}
+	return score
 }
 
 // usable filters the endpoints that may have a request: those neither draining
@@ -172,12 +213,13 @@
 	if memory <= 0 {
 		return 0
 	}
-	share := float64(s.own.memory+s.peers.memory+q.memory()) / float64(memory)
+	share := float64(s.memoryInUse()+q.memory()) / float64(memory)
 	return max(share-memoryShare, 0) * memoryCost
 }
 
 func (t *Table) place(s *state, w work, ticket Ticket) *Ticket {
 	ticket.Endpoint, ticket.state, ticket.work = s.Endpoint, s, w
+	ticket.Backlog, ticket.Unread = s.backlog(), w.unread
 	s.own.add(w, 1)
 	return &ticket
 }
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -74,3 +74,6 @@
 	}
 	return tokens
 }
+
+// sharedTokens returns the tokens of the parts that other requests share.
+func sharedTokens(parts []Part) int { return promptTokens(parts[:len(parts)-1]) }
