The split is averaged; long prompts keep off engines with streams left; stops take no requests after 2.6 s

Ruled out: a wider minimum for the side of long outputs. Change: need averaged over 1.5 s with a dead band, a cost for pausing streams; the notice of a stop is 2.6 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,9 +34,9 @@
 	maxHeaderBytes = 64 << 10
 	// stopNotice is the time between failing readiness and the end of new
 	// connections; the balancer asks once a second and needs two failures.
-	stopNotice = 3200 * time.Millisecond
+	stopNotice = 2600 * time.Millisecond
 	// stopReserve is the time before the end of the grace at which the process exits.
-	stopReserve = 300 * time.Millisecond
+	stopReserve = 500 * time.Millisecond
 	// sweepInterval is the time between two looks for idle connections to close.
 	sweepInterval = time.Second
 )
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -59,6 +59,10 @@
 	// crossingCost is the cost of a request on the other side of the split, in
 	// shares of a full endpoint.
 	crossingCost = 0.5
+	// harmlessChunks is the reading that streams don't notice as a pause, in chunks.
+	harmlessChunks = 1.0
+	// pauseCost is the cost of a chunk more for each stream that it pauses.
+	pauseCost = 0.25
 	// remoteCost breaks ties in favour of the own data centre.
 	remoteCost = 0.02
 	// failureCost is the cost of an endpoint whose recent requests all failed.
@@ -162,7 +166,17 @@
 	if !p.ownSide {
 		score += crossingCost
 	}
-	return score
+	return score + s.harm(q, p.unread)
+}
+
+// harm is the cost of the pause that a long prompt makes in the streams that run
+// at an engine, such as those that are left there when the split moves.
+func (s *state) harm(q Query, unread float64) float64 {
+	if !isLong(q) {
+		return 0
+	}
+	chunks := (float64(s.backlog())+unread)/chunkTokens - harmlessChunks
+	return max(chunks, 0) * float64(s.own.decoding+s.peers.decoding) * pauseCost
 }
 
 // usable filters the endpoints that may have a request: those neither draining
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
@@ -26,15 +27,18 @@
 	// maxDecodeShare and minDecodeShare bound the endpoints that are set aside.
 	maxDecodeShare = 0.75
 	minDecodeShare = 0.15
-	// shrinkTime is how long the split stays at a size that is no longer needed,
-	// so that sessions don't move back and forth in a wave of load.
-	shrinkTime = 3 * time.Second
+	// needTime is the time over which the need is averaged.
+	needTime = 1500 * time.Millisecond
+	// growAt and shrinkAt are how far the need has to be from the size before it
+	// changes, so that sessions don't move back and forth with every wave of load.
+	growAt, shrinkAt = 0.6, 1.2
 )
 
 // split is the number of endpoints of a service set aside for long outputs.
 type split struct {
-	size  int
-	until domain.Instant // not made smaller before
+	size   int
+	needed float64 // averaged
+	at     domain.Instant
 }
 
 // update returns the size for what is in progress and asked for now. reading is
@@ -47,20 +51,21 @@
 		return 0
 	}
 	need := p.need(endpoints, reading, pace)
-	switch {
-	case need >= p.size:
-		p.size, p.until = need, now.Add(shrinkTime)
-	case now >= p.until:
-		p.size--
-		p.until = now.Add(shrinkTime / time.Duration(n))
+	if p.size == 0 {
+		p.needed, p.size = need, int(need+0.5)
 	}
-	p.size = min(p.size, n-1)
+	p.needed += (need - p.needed) * (1 - math.Exp(-float64(now.Sub(p.at))/float64(needTime)))
+	p.at = now
+	if p.needed > float64(p.size)+growAt || p.needed < float64(p.size)-shrinkAt {
+		p.size = int(p.needed + 0.5)
+	}
+	p.size = max(1, min(p.size, n-1))
 	return p.size
 }
 
 // need is the size that gives both sides the same share of what they need.
 // When there is not enough for both, long outputs come first: they suffer more.
-func (p *split) need(endpoints []*state, reading, pace float64) int {
+func (p *split) need(endpoints []*state, reading, pace float64) float64 {
 	n := float64(len(endpoints))
 	decoding, slots := 0, 0
 	for _, s := range endpoints {
@@ -73,8 +78,7 @@
 	if decode+read > 0 && decode+read < n {
 		need = n * decode / (decode + read)
 	}
-	need = min(max(need, minDecodeShare*n, 1), maxDecodeShare*n)
-	return max(1, min(int(need+0.5), len(endpoints)-1))
+	return min(max(need, minDecodeShare*n, 1), maxDecodeShare*n)
 }
 
 // decodeHeavy reports whether a request makes many tokens from a short prompt.
