Long prompts are metered and kept off engines that make long outputs

Ruled out: letting long prompts in with up to 3 chunks waiting (no change: 1,036 against 1,100 pauses). Change: prompts given to an engine are held to 0.75 of its pace; none where four or more long outputs run; the split rises fast.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,16 +40,18 @@
 	// patience is when the caller itself gives up.
 	patience time.Time
 
-	ticket  *placement.Ticket // of the last attempt, nil before it
-	placed  time.Duration     // from arrival to the first placement
-	tried   []string          // endpoints that have been sent the request or could not be reached
-	runs    int               // endpoints that may have run it
-	sends   int               // endpoints that it was sent to
-	started bool              // the caller has got the head of an answer
-	first   time.Duration
-	lastID  string    // last event forwarded of a stream
-	cause   string    // why the last attempt ended, for the log
-	failure *finished // an endpoint's own failure, given if no other attempt does better
+	ticket    *placement.Ticket // of the last attempt, nil before it
+	placed    time.Duration     // from arrival to the first placement
+	tried     []string          // endpoints that have been sent the request or could not be reached
+	runs      int               // endpoints that may have run it
+	sends     int               // endpoints that it was sent to
+	started   bool              // the caller has got the head of an answer
+	first     time.Duration
+	lastEvent time.Time     // when the last events were forwarded
+	pause     time.Duration // longest time between two forwards
+	lastID    string        // last event forwarded of a stream
+	cause     string        // why the last attempt ended, for the log
+	failure   *finished     // an endpoint's own failure, given if no other attempt does better
 }
 
 // ServeHTTP answers one request of a caller.
@@ -257,6 +259,6 @@
 	klog.InfoS("request", "request", c.request.ID, "route", c.route.Name, "rank", c.rank, "account", account,
 		"tried", c.tried, "runs", c.runs, "placed_ms", c.placed.Milliseconds(), "score", ticket.Score,
 		"split", ticket.Split, "own_side", ticket.OwnSide, "home", ticket.Home, "demand", ticket.Demand,
-		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(),
+		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,6 +86,11 @@
 func (s *eventStream) forward(events []byte) error {
 	c := s.attempt.call
 	c.start(s.attempt.gateway, s.header)
+	now := time.Now()
+	if !c.lastEvent.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.lastEvent))
+	}
+	c.lastEvent = now
 	if _, err := c.writer.Write(events); err != nil {
 		s.callerFault = true
 		return errors.Wrap(err, "step=answer caller")
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -145,6 +145,7 @@
 		d.Unread = append(d.Unread, uint32(max(l.Unread, 0)))
 		d.LongUnread = append(d.LongUnread, uint32(max(l.Long, 0)))
 		d.Memory = append(d.Memory, uint32(max(l.Memory, 0)))
+		d.Given = append(d.Given, uint32(max(l.Given, 0)))
 	}
 	for _, r := range digest.Readings {
 		d.Service = append(d.Service, r.Service)
@@ -206,7 +207,7 @@
 // decode reports false for lists that don't fit together.
 func decode(d *pb.Digest) (placement.PeerDigest, bool) {
 	n := len(d.Endpoint)
-	for _, list := range [][]uint32{d.InFlight, d.Decoding, d.Unread, d.LongUnread, d.Memory} {
+	for _, list := range [][]uint32{d.InFlight, d.Decoding, d.Unread, d.LongUnread, d.Memory, d.Given} {
 		if len(list) != n {
 			return placement.PeerDigest{}, false
 		}
@@ -223,6 +224,7 @@
 			Unread:   int(d.Unread[i]),
 			Long:     int(d.LongUnread[i]),
 			Memory:   int(d.Memory[i]),
+			Given:    int(d.Given[i]),
 		})
 	}
 	for i := range d.Service {
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -26,6 +26,17 @@
 	// longAhead is the share of the long prompts at an engine that a shorter one
 	// waits for: engines take urgent requests first, but end a chunk that they began.
 	longAhead = 0.1
+	// pauseChunks is the reading, in chunks, that may wait at an engine where a
+	// long output goes to: more would pause it.
+	pauseChunks = 3
+	// sparedStreams is the number of long outputs from which on an engine is
+	// spared long prompts, whatever its side. Engines
+	// that have just left the side of long outputs still run some.
+	sparedStreams = 4
+	// dutyShare is the share of an engine's time that long prompts may take.
+	// An engine that reads all the time makes a token of each of its answers
+	// only once a chunk, and most answers then end after their callers have left.
+	dutyShare = 0.75
 	// awayBacklog is the prompt tokens that may wait at an endpoint which is not
 	// a home of the request's session. Reading shared parts again costs as much
 	// as the request itself, so that in a burst it would feed on itself.
@@ -50,11 +61,19 @@
 	if of.memory > 0 && float64(s.memoryInUse()+q.memory()) > memoryLimit*float64(of.memory) && s.memoryInUse() > 0 {
 		return false
 	}
+	if isLong(q) && s.streams() >= sparedStreams {
+		return false
+	}
+	if isLong(q) && s.given.value(now)+float64(s.peers.given) > dutyShare*of.pace.tokens()*1000 {
+		return false
+	}
 	switch {
 	case !p.ownSide && decodeHeavy(q):
 		return s.backlog() <= chunkTokens
+	case decodeHeavy(q):
+		return s.backlog() <= pauseChunks*chunkTokens
 	case !p.ownSide:
-		return s.own.decoding+s.peers.decoding == 0 && s.backlog() == 0
+		return s.streams() == 0 && s.backlog() == 0
 	case p.home == 0 && sharedTokens(q.Parts) > chunkTokens:
 		return s.backlog() <= awayBacklog
 	default:
@@ -73,6 +92,9 @@
 
 func (s *state) memoryInUse() int { return s.own.memory + s.peers.memory }
 
+// streams is the number of long outputs in progress.
+func (s *state) streams() int { return s.own.decoding + s.peers.decoding }
+
 // backlog is the prompt tokens that an engine has not read yet.
 func (s *state) backlog() int { return s.own.unread + s.peers.unread }
 
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -48,6 +48,7 @@
 
 	own   work // requests of this process in progress
 	peers work // those of the peers, as they last told
+	given rate // prompt tokens that this process gives it to read
 
 	reported         Load
 	reportedAt       domain.Instant
@@ -70,6 +71,7 @@
 	unread   int // prompt tokens of requests without a first event
 	long     int // of these, tokens of long prompts
 	memory   int // tokens of engine memory
+	given    int // prompt tokens a second given to read; only of peers
 }
 
 func (w *work) add(other work, sign int) {
@@ -78,6 +80,7 @@
 	w.unread += sign * other.unread
 	w.long += sign * other.long
 	w.memory += sign * other.memory
+	w.given += sign * other.given
 }
 
 // Table is the set of known endpoints. It is not safe for concurrent use.
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -43,7 +43,9 @@
 	k.state.heard = now
 	if !k.first {
 		k.first = true
-		t.service(k.Endpoint.Service).pace.learn(now.Sub(k.at), k.Backlog+k.Unread)
+		if k.work.long > 0 {
+			t.service(k.Endpoint.Service).pace.learn(now.Sub(k.at), k.Backlog+k.Unread)
+		}
 		k.state.own.add(work{unread: k.work.unread, long: k.work.long}, -1)
 		k.work.unread, k.work.long = 0, 0
 	}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -18,6 +18,8 @@
 	Unread   int
 	Long     int
 	Memory   int
+	// Given is the prompt tokens a second that the process gives it to read.
+	Given int
 }
 
 // PeerReading is what one process's callers ask the engines of a service to read.
@@ -35,19 +37,20 @@
 }
 
 func (l PeerLoad) work() work {
-	return work{inFlight: l.InFlight, decoding: l.Decoding, unread: l.Unread, long: l.Long, memory: l.Memory}
+	return work{inFlight: l.InFlight, decoding: l.Decoding, unread: l.Unread, long: l.Long, memory: l.Memory, given: l.Given}
 }
 
 // Digest returns what this process has in progress.
 func (t *Table) Digest(now domain.Instant) PeerDigest {
 	var d PeerDigest
 	for _, s := range t.byID {
-		if s.own == (work{}) {
+		given := int(s.given.value(now))
+		if s.own == (work{}) && given == 0 {
 			continue
 		}
 		d.Loads = append(d.Loads, PeerLoad{
 			Endpoint: s.hash(), InFlight: s.own.inFlight, Decoding: s.own.decoding,
-			Unread: s.own.unread, Long: s.own.long, Memory: s.own.memory,
+			Unread: s.own.unread, Long: s.own.long, Memory: s.own.memory, Given: given,
 		})
 	}
 	slices.SortFunc(d.Loads, func(a, b PeerLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -124,11 +124,14 @@
 	var best *state
 	var chosen position
 	for _, s := range usable {
-		p := position{ownSide: size == 0 || slices.Contains(side, s), home: homes.number(s)}
+		p := position{
+			ownSide: size == 0 || slices.Contains(side, s),
+			home:    homes.number(s),
+			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
+		}
 		if !s.admits(now, of, q, p) {
 			continue
 		}
-		p.unread = t.unread(now, s, q.Parts, homes.discount(s))
 		p.score = t.engineScore(now, of, s, q, p)
 		if best == nil || p.score < chosen.score {
 			best, chosen = s, p
@@ -145,6 +148,7 @@
 		w.decoding = 1
 	}
 	t.remember(now, best, q.Parts)
+	best.given.add(now, chosen.unread)
 	return t.place(now, best, w, Ticket{
 		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
 		Home: chosen.home, Demand: best.demand(now),
@@ -162,7 +166,11 @@
 // engineScore is the cost of a request at an engine, in shares of a full one.
 func (t *Table) engineScore(now domain.Instant, of *service, s *state, q Query, p position) float64 {
 	score := t.baseScore(now, s) + s.memoryScore(of.memory, q)
-	score += (float64(s.backlog()) + p.unread*unreadWeight) / prefillHorizon
+	backlog := float64(s.backlog())
+	if decodeHeavy(q) {
+		backlog *= unreadWeight
+	}
+	score += (backlog + p.unread*unreadWeight) / prefillHorizon
 	if !p.ownSide {
 		score += crossingCost
 	}
@@ -176,7 +184,7 @@
 		return 0
 	}
 	chunks := (float64(s.backlog())+unread)/chunkTokens - harmlessChunks
-	return max(chunks, 0) * float64(s.own.decoding+s.peers.decoding) * pauseCost
+	return max(chunks, 0) * float64(s.streams()) * pauseCost
 }
 
 // usable filters the endpoints that may have a request: those neither draining
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -27,8 +27,10 @@
 	// maxDecodeShare and minDecodeShare bound the endpoints that are set aside.
 	maxDecodeShare = 0.75
 	minDecodeShare = 0.15
-	// needTime is the time over which the need is averaged.
-	needTime = 1500 * time.Millisecond
+	// riseTime and fallTime are the times over which a need that rises or falls
+	// is averaged. Long outputs that find no room are late at once.
+	riseTime = 300 * time.Millisecond
+	fallTime = 1500 * time.Millisecond
 	// growAt and shrinkAt are how far the need has to be from the size before it
 	// changes, so that sessions don't move back and forth with every wave of load.
 	growAt, shrinkAt = 0.6, 1.2
@@ -54,7 +56,11 @@
 	if p.size == 0 {
 		p.needed, p.size = need, int(need+0.5)
 	}
-	p.needed += (need - p.needed) * (1 - math.Exp(-float64(now.Sub(p.at))/float64(needTime)))
+	over := fallTime
+	if need > p.needed {
+		over = riseTime
+	}
+	p.needed += (need - p.needed) * (1 - math.Exp(-float64(now.Sub(p.at))/float64(over)))
 	p.at = now
 	if p.needed > float64(p.size)+growAt || p.needed < float64(p.size)-shrinkAt {
 		p.size = int(p.needed + 0.5)
