--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -17,6 +17,11 @@
 	aliveTime = time.Second
 	// memberTime is how long digests are sent to a peer that is not heard of.
 	memberTime = 8 * time.Second
+	// cutOffTime is how long the digests of peers are kept that all fell silent at once.
+	cutOffTime = 15 * time.Second
+	// minQuorum is the number of peers from which on their silence tells that
+	// this process is cut off.
+	minQuorum = 2
 	// maxMembers bounds the peers that are remembered.
 	maxMembers = 512
 )
@@ -36,6 +41,7 @@
 	self    netip.Addr
 	seeds   []netip.Addr
 	members map[netip.Addr]*member
+	cutOff  domain.Instant // since when most peers are silent; 0 if they are not
 }
 
 // NewMembers returns the set of a process that knows only its seeds.
@@ -75,14 +81,35 @@
 }
 
 // Expire forgets peers that were not heard of, and returns those whose last
-// digest is no longer to be believed.
+// digest is no longer to be believed. When most peers fall silent at once it is
+// this process that is cut off: what they told last is better than nothing, and
+// is kept for a while.
 func (m *Members) Expire(now domain.Instant) []netip.Addr {
 	var silent []netip.Addr
-	for address, p := range m.members {
-		if p.alive && now.Sub(p.heard) > aliveTime {
-			p.alive = false
-			silent = append(silent, address)
+	alive := 0
+	for _, p := range m.members {
+		if !p.alive {
+			continue
+		}
+		alive++
+		if now.Sub(p.heard) > aliveTime {
+			silent = append(silent, p.address)
+		}
+	}
+	if 2*len(silent) > alive && alive >= minQuorum {
+		if m.cutOff == 0 {
+			m.cutOff = now
+		}
+		if now.Sub(m.cutOff) < cutOffTime {
+			return nil
 		}
+	} else {
+		m.cutOff = 0
+	}
+	for _, address := range silent {
+		m.members[address].alive = false
+	}
+	for address, p := range m.members {
 		if !p.alive && now.Sub(max(p.heard, p.mentioned)) > memberTime {
 			delete(m.members, address)
 		}
@@ -91,6 +118,9 @@
 	return silent
 }
 
+// CutOff reports whether this process hears of less than half of its peers.
+func (m *Members) CutOff() bool { return m.cutOff > 0 }
+
 // Targets returns the peers that a digest goes to. Seeds always are among them:
 // a process that all have forgotten is found again through them.
 func (m *Members) Targets() []netip.Addr {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -58,7 +58,7 @@
 	prefillHorizon = 40_000.0
 	// crossingCost is the cost of a request on the other side of the split, in
 	// shares of a full endpoint.
-	crossingCost = 0.5
+	crossingCost = 1.0
 	// harmlessChunks is the reading that streams don't notice as a pause, in chunks.
 	harmlessChunks = 1.0
 	// pauseCost is the cost of a chunk more for each stream that it pauses.
@@ -168,7 +168,7 @@
 	score := t.baseScore(now, s) + s.memoryScore(of.memory, q)
 	backlog := float64(s.backlog())
 	if decodeHeavy(q) {
-		backlog *= unreadWeight
+		backlog += float64(s.own.long+s.peers.long) * unreadWeight
 	}
 	score += (backlog + p.unread*unreadWeight) / prefillHorizon
 	if !p.ownSide {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -26,7 +26,7 @@
 	readShare = 0.7
 	// maxDecodeShare and minDecodeShare bound the endpoints that are set aside.
 	maxDecodeShare = 0.75
-	minDecodeShare = 0.15
+	minDecodeShare = 0.2
 	// riseTime and fallTime are the times over which a need that rises or falls
 	// is averaged. Long outputs that find no room are late at once.
 	riseTime = 300 * time.Millisecond
