--- a/internal/validity/validity.go
+++ b/internal/validity/validity.go
@@ -10,7 +10,7 @@
 // usableShare is the share of the bound in which unconfirmed keys are used. The
 // rest covers the time that a request spends on its way here, and a store that
 // hears of a change late.
-const usableShare = 0.7
+const usableShare = 0.75
 
 // Validity is the age of the newest confirmation. Times are readings of a clock
 // that goes on while the host is suspended. It is safe for concurrent use.
