--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -37,10 +37,6 @@
 	// An engine that reads all the time makes a token of each of its answers
 	// only once a chunk, and most answers then end after their callers have left.
 	dutyShare = 0.75
-	// awayBacklog is the prompt tokens that may wait at an endpoint which is not
-	// a home of the request's session. Reading shared parts again costs as much
-	// as the request itself, so that in a burst it would feed on itself.
-	awayBacklog = 6000
 	// plainQueueShare is the share of a plain service's slots that may be
 	// taken by waiting requests: at most two rounds wait.
 	plainQueueShare = 3.0
@@ -75,7 +71,9 @@
 	case !p.ownSide:
 		return s.streams() == 0 && s.backlog() == 0
 	case p.home == 0 && sharedTokens(q.Parts) > chunkTokens:
-		return s.backlog() <= awayBacklog
+		// Reading the shared parts again costs more than the request itself, so
+		// that in a burst it would feed on itself.
+		return false
 	default:
 		return s.ahead(q) <= q.backlogLimit(of.pace.tokens())
 	}
