--- a/cmd/dunlinpulley-standin/main.go
+++ b/cmd/dunlinpulley-standin/main.go
@@ -11,11 +11,12 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/app"
+	"github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
 )
 
 func main() {
-	app.SetLogs(os.Stderr, "standin")
+	logs.Set(os.Stderr, "standin")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	err := command().Run(ctx, os.Args)
 	stop()
--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -12,6 +12,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/declaration"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
+	"github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
 	"github.com/dunlinpulley/dunlinpulley/internal/wire"
 )
@@ -81,7 +82,7 @@
 	if err := setVerbosity(cmd); err != nil {
 		return err
 	}
-	SetLogs(os.Stderr, s.Name)
+	logs.Set(os.Stderr, s.Name)
 	signals := stopSignals()
 	e, err := StartEntry(s)
 	if err != nil {
@@ -146,7 +147,7 @@
 	if err := setVerbosity(cmd); err != nil {
 		return err
 	}
-	SetLogs(os.Stderr, s.Endpoint)
+	logs.Set(os.Stderr, s.Endpoint)
 	signals := stopSignals()
 	a, err := StartAgent(s)
 	if err != nil {
--- a/internal/app/dev.go
+++ b/internal/app/dev.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	logsetup "github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
 )
 
@@ -47,7 +48,7 @@
 	if cmd.Bool("verbose") {
 		logs = os.Stderr
 	}
-	SetLogs(logs, cmd.Name)
+	logsetup.Set(logs, cmd.Name)
 	once := cmd.Bool("once")
 	if once {
 		s.Listen, s.Admin = loopback, loopback
--- a/internal/app/logs.go
+++ b/internal/app/logs.go
@@ -4,14 +4,13 @@
 
 import (
 	"flag"
-	"io"
-	"log/slog"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
 )
 
@@ -19,7 +18,7 @@
 const verbosityName = "log-verbosity"
 
 // maxVerbosity is the most detailed level that is logged at.
-const maxVerbosity = 2
+const maxVerbosity = logs.MaxVerbosity
 
 func verbosityFlag() cli.Flag {
 	return settings.Text(verbosityName, "0", "detail of the logs, a `NUMBER`: 1 adds runs and failed requests, 2 failed polls")
@@ -36,23 +35,3 @@
 	klog.InitFlags(flags)
 	return errors.Wrap(flags.Set("v", strconv.Itoa(level)), "step=set log verbosity")
 }
-
-// SetLogs makes klog write one line of key=value pairs for each event.
-func SetLogs(w io.Writer, process string) {
-	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.Level(-maxVerbosity), ReplaceAttr: shortAttr})
-	klog.SetSlogLogger(slog.New(handler).With("process", process))
-}
-
-// shortAttr leaves the stack trace out of a logged error, and the number out of
-// the level of details.
-func shortAttr(_ []string, a slog.Attr) slog.Attr {
-	switch value := a.Value.Any().(type) {
-	case error:
-		a.Value = slog.StringValue(value.Error())
-	case slog.Level:
-		if value < slog.LevelInfo {
-			a.Value = slog.StringValue(slog.LevelDebug.String())
-		}
-	}
-	return a
-}
--- a/internal/app/metrics_test.go
+++ b/internal/app/metrics_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/entry"
+	logsetup "github.com/dunlinpulley/dunlinpulley/internal/logs"
 )
 
 // onceCalls is the number of calls of runOnce.
@@ -107,7 +108,7 @@
 // those that the operators' page lists, and its logs have one line for each call.
 func TestMetricsAndLogs(t *testing.T) {
 	var logs lockedBuffer
-	SetLogs(&logs, "test")
+	logsetup.Set(&logs, "test")
 	defer klog.ClearLogger()
 	d, err := StartDeployment(DeploymentSettings{Name: PortHuron, Entries: 2})
 	assert.NilError(t, err)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,7 @@
 		result = placement.ResultCancelled
 	}
 	g.end(t, result)
+	g.counters.results[result].Inc(1)
 	klog.V(1).InfoS("attempt", "request", c.request.ID, "endpoint", t.Endpoint.ID, "score", t.Score,
 		"candidates", t.Candidates, "end", end, "result", result, "cause", c.cause)
 	return end
@@ -249,8 +250,12 @@
 
 func (g *Gateway) takeRepeat(service string) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(service).Take(g.now())
+	taken := g.budget(service).Take(g.now())
+	g.mu.Unlock()
+	if taken {
+		g.counters.repeats.Inc(1)
+	}
+	return taken
 }
 
 func mix(x uint64) uint64 { return policy.Mix(x) }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,18 +40,21 @@
 	// patience is when the caller itself gives up.
 	patience time.Time
 
-	ticket    *placement.Ticket // of the last attempt, nil before it
-	placed    time.Duration     // from arrival to the first placement
-	tried     []string          // endpoints that have been sent the request or could not be reached
-	runs      int               // endpoints that may have run it
-	sends     int               // endpoints that it was sent to
-	started   bool              // the caller has got the head of an answer
-	first     time.Duration
-	lastEvent time.Time     // when the last events were forwarded
-	pause     time.Duration // longest time between two forwards
-	lastID    string        // last event forwarded of a stream
-	cause     string        // why the last attempt ended, for the log
-	failure   *finished     // an endpoint's own failure, given if no other attempt does better
+	ticket  *placement.Ticket // of the last attempt, nil before it
+	placed  time.Duration     // from arrival to the first placement
+	tried   []string          // endpoints that have been sent the request or could not be reached
+	runs    int               // endpoints that may have run it
+	sends   int               // endpoints that it was sent to
+	started bool              // the caller has got the head of an answer
+	// left, rejected and cut tell how the request ended: the caller was gone, it
+	// got an answer of the gateway's own, or its answer was broken off.
+	left, rejected, cut bool
+	first               time.Duration
+	lastEvent           time.Time     // when the last events were forwarded
+	pause               time.Duration // longest time between two forwards
+	lastID              string        // last event forwarded of a stream
+	cause               string        // why the last attempt ended, for the log
+	failure             *finished     // an endpoint's own failure, given if no other attempt does better
 }
 
 // ServeHTTP answers one request of a caller.
@@ -63,7 +66,7 @@
 	if !g.admit(c) {
 		return
 	}
-	defer logEnd(c)
+	defer g.logEnd(c)
 	g.serve(c)
 }
 
@@ -158,7 +161,7 @@
 			return
 		}
 		if c.http.Context().Err() != nil {
-			c.cause = "caller left"
+			c.cause, c.left = "caller left", true
 			panic(http.ErrAbortHandler)
 		}
 		if !time.Now().Before(c.deadline) || !g.mayRepeat(c, service, end) {
@@ -203,6 +206,7 @@
 	c.cause = cause
 	switch {
 	case c.started:
+		c.cut = true
 		panic(http.ErrAbortHandler)
 	case c.failure != nil:
 		g.deliver(c, c.failure)
@@ -217,6 +221,7 @@
 
 // reject gives an answer of the gateway's own. It always returns false.
 func (g *Gateway) reject(c *call, status int, cause string) bool {
+	c.rejected = true
 	h := c.writer.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", retryAfter)
@@ -240,6 +245,20 @@
 // retryAfter is the time in seconds after which a refused caller may return.
 const retryAfter = "0.4"
 
+// outcome tells how a request ended.
+func (c *call) outcome() string {
+	switch {
+	case c.left:
+		return outcomeLeft
+	case c.rejected:
+		return outcomeRejected
+	case c.cut:
+		return outcomeCut
+	default:
+		return outcomeAnswered
+	}
+}
+
 func version(c *routing.Config) int64 {
 	if c == nil {
 		return 0
@@ -247,7 +266,9 @@
 	return c.Version
 }
 
-func logEnd(c *call) {
+func (g *Gateway) logEnd(c *call) {
+	outcome := c.outcome()
+	g.counters.ended(c, outcome)
 	account := ""
 	if c.account != nil {
 		account = c.account.Name
@@ -256,7 +277,7 @@
 	if c.ticket != nil {
 		ticket = *c.ticket
 	}
-	klog.InfoS("request", "request", c.request.ID, "route", c.route.Name, "rank", c.rank, "account", account,
+	klog.InfoS("request", "request", c.request.ID, "outcome", outcome, "route", c.route.Name, "rank", c.rank, "account", account,
 		"tried", c.tried, "runs", c.runs, "placed_ms", c.placed.Milliseconds(), "score", ticket.Score,
 		"split", ticket.Split, "own_side", ticket.OwnSide, "home", ticket.Home, "demand", ticket.Demand,
 		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 	source   Source
 	validity *validity.Validity
 	pool     *endpointconn.Pool
+	counters *counters
 	peers    *peers.Exchange
 	started  time.Time
 
@@ -64,7 +65,7 @@
 	queue   waitqueue.Queue
 	waiters map[*waitqueue.Waiter]*waiting
 
-	caller, ready *http.Server
+	caller, ready, metrics *http.Server
 }
 
 // New returns a gateway. Start starts it.
@@ -75,6 +76,7 @@
 		source:   source,
 		validity: validity.New(s.KeyValidity),
 		pool:     endpointconn.NewPool(),
+		counters: newCounters(),
 		started:  time.Now(),
 		table:    placement.New(placement.Settings{DataCentre: s.DataCentre, CacheLife: cacheLife}),
 		budgets:  make(map[string]*retrybudget.Budget),
@@ -119,10 +121,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	page := chi.NewRouter()
+	page.Handle("/metrics", g.counters.registry.Page)
+	g.metrics = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
 	for _, server := range []struct {
 		address string
 		http    *http.Server
-	}{{g.settings.ReadyListen, g.ready}, {g.settings.Listen, g.caller}} {
+	}{{g.settings.ReadyListen, g.ready}, {g.settings.MetricsListen, g.metrics}, {g.settings.Listen, g.caller}} {
+		if server.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
 			return errors.Wrapf(err, "step=listen address=%s", server.address)
@@ -177,6 +185,8 @@
 		case <-ticker.C:
 		}
 		g.removeLeft()
+		age, _ := g.validity.Age(bootclock.Now())
+		g.sample(age)
 		g.pool.Sweep(g.keepConnections)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,6 +16,8 @@
 	Listen string
 	// ReadyListen is the address of the readiness check.
 	ReadyListen string
+	// MetricsListen is the address of the metrics page. Empty serves none.
+	MetricsListen string
 	// Store is the address of the platform's store.
 	Store string
 	// PeerAddress is where other gateways send digests.
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/app"
+	logsetup "github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
 )
 
@@ -72,7 +73,7 @@
 	if cmd.Bool("verbose") {
 		logs = os.Stderr
 	}
-	app.SetLogs(logs, cmd.Name)
+	logsetup.Set(logs, cmd.Name)
 	if isTerminal(os.Stderr) {
 		s.Progress = func(sent, ended int) { fmt.Fprintf(os.Stderr, "\rsent %d, ended %d ", sent, ended) }
 	}
--- a/internal/logsink/logsink.go
+++ b/internal/logs/sink.go
@@ -1,6 +1,6 @@
-// Package logsink writes log lines without ever making the caller wait: lines
+// Package logs writes log lines without ever making the caller wait: lines
 // that find the queue full are counted and left out.
-package logsink
+package logs
 
 import (
 	"fmt"
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -28,10 +28,10 @@
 	longAhead = 0.1
 	// pauseChunks is the reading, in chunks, that may wait at an engine where a
 	// long output goes to: more would pause it.
-	pauseChunks = 3
+	pauseChunks = 2
 	// sparedStreams is the number of long outputs from which on an engine is
-	// spared long prompts, whatever its side. Engines
-	// that have just left the side of long outputs still run some.
+	// spared long prompts, whatever its side. Engines that have just left the
+	// side of long outputs are spared as long as they run any.
 	sparedStreams = 4
 	// dutyShare is the share of an engine's time that long prompts may take.
 	// An engine that reads all the time makes a token of each of its answers
@@ -57,7 +57,7 @@
 	if of.memory > 0 && float64(s.memoryInUse()+q.memory()) > memoryLimit*float64(of.memory) && s.memoryInUse() > 0 {
 		return false
 	}
-	if isLong(q) && s.streams() >= sparedStreams {
+	if isLong(q) && (s.streams() >= sparedStreams || p.leaving && s.streams() > 0) {
 		return false
 	}
 	if isLong(q) && s.given.value(now)+float64(s.peers.given) > dutyShare*of.pace.tokens()*1000 {
@@ -69,7 +69,7 @@
 	case decodeHeavy(q):
 		return s.backlog() <= pauseChunks*chunkTokens
 	case !p.ownSide:
-		return s.streams() == 0 && s.backlog() == 0
+		return !isLong(q) && s.streams() == 0 && s.backlog() == 0
 	case p.home == 0 && sharedTokens(q.Parts) > chunkTokens:
 		// Reading the shared parts again costs more than the request itself, so
 		// that in a burst it would feed on itself.
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -26,6 +26,11 @@
 	ResultCancelled
 )
 
+// String returns the result as it stands in logs.
+func (r Result) String() string {
+	return [...]string{"served", "refused", "failed", "unreachable", "silent", "cancelled"}[r]
+}
+
 const (
 	// failureWeight is the weight of one result in the share of failures.
 	failureWeight = 0.2
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -126,6 +126,7 @@
 	for _, s := range usable {
 		p := position{
 			ownSide: size == 0 || slices.Contains(side, s),
+			leaving: slices.Contains(open[size:max(size, of.split.recent)], s),
 			home:    homes.number(s),
 			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
 		}
@@ -158,6 +159,7 @@
 // position is how an endpoint stands to a request.
 type position struct {
 	ownSide bool
+	leaving bool    // it has just left the side of long outputs
 	home    int     // 1 or 2 for a home of the request's session, else 0
 	unread  float64 // prompt tokens that it is expected to read
 	score   float64
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -39,6 +39,8 @@
 // split is the number of endpoints of a service set aside for long outputs.
 type split struct {
 	size   int
+	// recent is the end of the endpoints that were set aside and still run long outputs.
+	recent int
 	needed float64 // averaged
 	at     domain.Instant
 }
@@ -49,7 +51,7 @@
 func (p *split) update(now domain.Instant, endpoints []*state, reading, pace float64) int {
 	n := len(endpoints)
 	if n < 2 {
-		p.size = 0
+		p.size, p.recent = 0, 0
 		return 0
 	}
 	need := p.need(endpoints, reading, pace)
@@ -66,6 +68,10 @@
 		p.size = int(p.needed + 0.5)
 	}
 	p.size = max(1, min(p.size, n-1))
+	p.recent = min(max(p.recent, p.size), n)
+	for p.recent > p.size && endpoints[p.recent-1].streams() == 0 {
+		p.recent--
+	}
 	return p.size
 }
 
