--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -150,6 +150,7 @@
 	for _, r := range digest.Readings {
 		d.Service = append(d.Service, r.Service)
 		d.Reading = append(d.Reading, uint32(max(r.Tokens, 0)))
+		d.SetAside = append(d.SetAside, uint32(max(r.SetAside, 0)))
 	}
 	for _, address := range named {
 		bytes := address.As4()
@@ -212,7 +213,7 @@
 			return placement.PeerDigest{}, false
 		}
 	}
-	if len(d.Service) != len(d.Reading) {
+	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) {
 		return placement.PeerDigest{}, false
 	}
 	var digest placement.PeerDigest
@@ -228,7 +229,9 @@
 		})
 	}
 	for i := range d.Service {
-		digest.Readings = append(digest.Readings, placement.PeerReading{Service: d.Service[i], Tokens: int(d.Reading[i])})
+		digest.Readings = append(digest.Readings, placement.PeerReading{
+			Service: d.Service[i], Tokens: int(d.Reading[i]), SetAside: int(d.SetAside[i]),
+		})
 	}
 	return digest, true
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -28,6 +28,8 @@
 	Service uint32
 	// Tokens is the prompt tokens a second.
 	Tokens int
+	// SetAside is how many endpoints the process would set aside for long outputs.
+	SetAside int
 }
 
 // PeerDigest is what a process tells the others.
@@ -55,8 +57,8 @@
 	}
 	slices.SortFunc(d.Loads, func(a, b PeerLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	for name, of := range t.services {
-		if tokens := int(of.reading.value(now)); tokens > 0 {
-			d.Readings = append(d.Readings, PeerReading{Service: serviceHash(name), Tokens: tokens})
+		if tokens := int(of.reading.value(now)); tokens > 0 || of.split.wanted > 0 {
+			d.Readings = append(d.Readings, PeerReading{Service: serviceHash(name), Tokens: tokens, SetAside: of.split.wanted})
 		}
 	}
 	slices.SortFunc(d.Readings, func(a, b PeerReading) int { return cmp.Compare(a.Service, b.Service) })
@@ -85,17 +87,18 @@
 	}
 }
 
-// reading returns the prompt tokens a second that callers of all processes ask
-// a service's engines to read.
-func (t *Table) reading(now domain.Instant, of *service, name string) float64 {
-	tokens := of.reading.value(now)
+// asked returns the prompt tokens a second that callers of all processes ask a
+// service's engines to read, and the sizes that the peers would choose for the split.
+func (t *Table) asked(now domain.Instant, of *service, name string) (tokens float64, setAside []int) {
+	tokens = of.reading.value(now)
 	hash := serviceHash(name)
 	for _, d := range t.peers {
 		for _, r := range d.Readings {
 			if r.Service == hash {
 				tokens += float64(r.Tokens)
+				setAside = append(setAside, r.SetAside)
 			}
 		}
 	}
-	return tokens
+	return tokens, setAside
 }
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
@@ -38,7 +39,10 @@
 
 // split is the number of endpoints of a service set aside for long outputs.
 type split struct {
-	size   int
+	size int
+	// wanted is the size that this process would choose by itself. All use the
+	// median of what they want, so that they agree on which endpoints it means.
+	wanted int
 	// recent is the end of the endpoints that were set aside and still run long outputs.
 	recent int
 	needed float64 // averaged
@@ -47,16 +51,16 @@
 
 // update returns the size for what is in progress and asked for now. reading is
 // the prompt tokens a second that are asked for, pace those that one engine reads
-// in a millisecond.
-func (p *split) update(now domain.Instant, endpoints []*state, reading, pace float64) int {
+// in a millisecond, peersWant the sizes that the peers would choose.
+func (p *split) update(now domain.Instant, endpoints []*state, reading, pace float64, peersWant []int) int {
 	n := len(endpoints)
 	if n < 2 {
-		p.size, p.recent = 0, 0
+		*p = split{}
 		return 0
 	}
 	need := p.need(endpoints, reading, pace)
-	if p.size == 0 {
-		p.needed, p.size = need, int(need+0.5)
+	if p.wanted == 0 {
+		p.needed, p.wanted = need, int(need+0.5)
 	}
 	over := fallTime
 	if need > p.needed {
@@ -64,10 +68,10 @@
 	}
 	p.needed += (need - p.needed) * (1 - math.Exp(-float64(now.Sub(p.at))/float64(over)))
 	p.at = now
-	if p.needed > float64(p.size)+growAt || p.needed < float64(p.size)-shrinkAt {
-		p.size = int(p.needed + 0.5)
+	if p.needed > float64(p.wanted)+growAt || p.needed < float64(p.wanted)-shrinkAt {
+		p.wanted = int(p.needed + 0.5)
 	}
-	p.size = max(1, min(p.size, n-1))
+	p.size = max(1, min(median(append(peersWant, p.wanted)), n-1))
 	p.recent = min(max(p.recent, p.size), n)
 	for p.recent > p.size && endpoints[p.recent-1].streams() == 0 {
 		p.recent--
@@ -75,6 +79,12 @@
 	return p.size
 }
 
+// median returns the upper median of a list, which it sorts.
+func median(list []int) int {
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
 // need is the size that gives both sides the same share of what they need.
 // When there is not enough for both, long outputs come first: they suffer more.
 func (p *split) need(endpoints []*state, reading, pace float64) float64 {
