Tests of the decisions; the base of the pace rises only by requests with little to read

Cause: TestPaceIsLearned: under steady load the base crept up to the waits themselves, and the pace came out at 297 in place of 120 tokens/ms.

--- /dev/null
+++ b/internal/peers/compare_test.go
@@ -0,0 +1,11 @@
+package peers
+
+import (
+	"net/netip"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func cmpAddresses() cmp.Option {
+	return cmp.Comparer(func(a, b netip.Addr) bool { return a == b })
+}
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -38,9 +38,11 @@
 	if p.learned == 0 {
 		p.learned, p.base = initialPace, initialBase
 	}
-	if took < p.base {
+	switch {
+	case took < p.base:
 		p.base = took
-	} else {
+	case tokens < minSample:
+		// Only requests with little to read tell that the base has risen.
 		p.base += time.Duration(float64(took-p.base) * baseRise)
 	}
 	if tokens < minSample || took <= p.base {
