--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -119,6 +120,9 @@
 	return nil, errors.Wrapf(ErrForeign, "step=read head peer=%s", c.net.RemoteAddr())
 }
 
+// closeConn closes a connection. Its fault tells nothing: the connection is gone either way.
+func closeConn(c io.Closer) { _ = c.Close() }
+
 // SetReadDeadline bounds the reads that follow. The zero time bounds none.
 func (c *Conn) SetReadDeadline(t time.Time) {
 	// A closed connection tells its fault at the next read.
@@ -126,4 +130,4 @@
 }
 
 // Abort makes reads and writes in progress fail at once.
-func (c *Conn) Abort() { c.net.Close() }
+func (c *Conn) Abort() { closeConn(c.net) }
--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -82,7 +82,7 @@
 		assert.NilError(t, err)
 		_, err = io.ReadAll(response.Body)
 		assert.NilError(t, err)
-		p.Put(key, c, response)
+		p.Put(key, c, Whole{Header: response.Header})
 		close(go1)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if c.quiet() {
@@ -105,12 +105,12 @@
 	assert.NilError(t, err)
 	_, err = io.ReadAll(response.Body)
 	assert.NilError(t, err)
-	p.Put(key, c, response)
+	p.Put(key, c, Whole{Header: response.Header})
 	again, err := p.Get(context.Background(), key, 0, false)
 	assert.NilError(t, err)
 	assert.Assert(t, again.Reused())
 	assert.Equal(t, p.Dialed(), int64(1))
-	p.Put(key, again, response)
+	p.Put(key, again, Whole{Header: response.Header})
 	p.Sweep(func(Key) bool { return false })
 	assert.Equal(t, len(p.shelves), 0)
 }
--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -121,13 +121,20 @@
 
 // Discard closes a connection.
 func (p *Pool) Discard(key Key, c *Conn) {
-	c.net.Close()
+	closeConn(c.net)
 	p.release(key)
 }
 
+// Whole tells of an answer that has been read to its end.
+type Whole struct {
+	Header http.Header
+	// Close means that the endpoint closes the connection after it.
+	Close bool
+}
+
 // Put keeps a connection whose answer has been read whole, unless the answer
 // says that the endpoint closes it or bytes follow that belong to no request.
-func (p *Pool) Put(key Key, c *Conn, answer *http.Response) {
+func (p *Pool) Put(key Key, c *Conn, answer Whole) {
 	if answer.Close || c.reader.Buffered() > 0 {
 		p.Discard(key, c)
 		return
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,15 +81,15 @@
 	stop := context.AfterFunc(ctx, conn.Abort)
 	end, result, answer := a.exchange()
 	if stop() && answer != nil {
-		g.pool.Put(a.key, conn, answer)
+		g.pool.Put(a.key, conn, *answer)
 	} else {
 		g.pool.Discard(a.key, conn)
 	}
 	return end, result
 }
 
-// exchange returns the answer if the connection can be used again.
-func (a *attempt) exchange() (attemptEnd, placement.Result, *http.Response) {
+// exchange returns what it read if the connection can be used again.
+func (a *attempt) exchange() (attemptEnd, placement.Result, *endpointconn.Whole) {
 	g, c := a.gateway, a.call
 	c.sends++
 	if err := a.conn.Write(a.encode()); err != nil {
@@ -119,7 +119,7 @@
 	if c.route.Kind == routing.KindStream && response.StatusCode == http.StatusOK {
 		return a.stream(response)
 	}
-	return a.whole(response)
+	return a.readWhole(response)
 }
 
 // silence tells a connection that ended from one on which nothing came in time.
@@ -143,20 +143,20 @@
 }
 
 // notRun ends an attempt whose endpoint says that it did not run the request.
-func (a *attempt) notRun(response *http.Response, answer Answer) (attemptEnd, placement.Result, *http.Response) {
+func (a *attempt) notRun(response *http.Response, answer Answer) (attemptEnd, placement.Result, *endpointconn.Whole) {
 	a.call.cause = "refused with status " + strconv.Itoa(response.StatusCode)
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
-		response = nil
-	}
 	if answer.Misdirected {
 		return attemptNotRun, placement.ResultUnreachable, nil
 	}
-	return attemptNotRun, placement.ResultRefused, response
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
+		return attemptNotRun, placement.ResultRefused, nil
+	}
+	return attemptNotRun, placement.ResultRefused, whole(response)
 }
 
-// whole reads an answer to its end before the caller gets it, so that one that
+// readWhole reads an answer to its end before the caller gets it, so that one that
 // breaks off never looks complete and may be asked for again.
-func (a *attempt) whole(response *http.Response) (attemptEnd, placement.Result, *http.Response) {
+func (a *attempt) readWhole(response *http.Response) (attemptEnd, placement.Result, *endpointconn.Whole) {
 	g, c := a.gateway, a.call
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
@@ -168,10 +168,15 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		c.cause = "status " + strconv.Itoa(response.StatusCode)
 		c.failure = got
-		return attemptBroken, placement.ResultFailed, response
+		return attemptBroken, placement.ResultFailed, whole(response)
 	}
 	g.deliver(c, got)
-	return attemptAnswered, placement.ResultServed, response
+	return attemptAnswered, placement.ResultServed, whole(response)
+}
+
+// whole tells of an answer whose body has been read to its end.
+func whole(response *http.Response) *endpointconn.Whole {
+	return &endpointconn.Whole{Header: response.Header, Close: response.Close}
 }
 
 // finished is an answer that has been read whole.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
 
@@ -23,13 +24,13 @@
 var eventEnd = []byte("\n\n")
 
 // stream passes the events of an answer on as they arrive, each whole or not at all.
-func (a *attempt) stream(response *http.Response) (attemptEnd, placement.Result, *http.Response) {
+func (a *attempt) stream(response *http.Response) (attemptEnd, placement.Result, *endpointconn.Whole) {
 	c := a.call
 	s := &eventStream{attempt: a, header: response.Header}
 	err := s.copy(response.Body)
 	c.setWriteDeadline(time.Time{})
 	if err == nil {
-		return attemptAnswered, placement.ResultServed, response
+		return attemptAnswered, placement.ResultServed, whole(response)
 	}
 	c.cause = err.Error()
 	if s.callerFault {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -75,7 +75,11 @@
 		return errors.Wrapf(err, "step=listen for digests address=%s", e.address)
 	}
 	e.conn = conn
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		if err := conn.Close(); err != nil {
+			klog.ErrorS(err, "digest socket not closed")
+		}
+	})
 	defer stop()
 	go e.receive(ctx)
 	ticker := time.NewTicker(interval)
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -56,7 +56,7 @@
 	hasReport        bool
 
 	heard    domain.Instant // last bytes received
-	asked    domain.Instant // start of the oldest silence with work outstanding
+	asked    domain.Instant // when work became outstanding after there was none
 	failures float64        // recent share of failed requests, 0 to 1
 	failedAt domain.Instant
 	avoid    domain.Instant // not used before, unless nothing else is left
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -72,6 +72,9 @@
 	// memoryShare is the share of an engine's memory that requests may need
 	// before it costs; the rest keeps prompts of before.
 	memoryShare = 0.6
+	// silenceBound is the time without a word after which an endpoint with work
+	// outstanding is left: twice what all but one in a hundred plain requests take.
+	silenceBound = 700 * time.Millisecond
 	// defaultSlots is used for an endpoint that declares none.
 	defaultSlots = 8
 	// reportLife is how long a reported load is used.
@@ -90,12 +93,12 @@
 		return nil
 	}
 	if len(q.Parts) == 0 {
-		return t.pickPlain(now, usable, q)
+		return t.pickPlain(now, usable)
 	}
 	return t.pickEngine(now, of, usable, q)
 }
 
-func (t *Table) pickPlain(now domain.Instant, usable []*state, q Query) *Ticket {
+func (t *Table) pickPlain(now domain.Instant, usable []*state) *Ticket {
 	var best *state
 	var bestScore float64
 	for _, s := range usable {
@@ -199,7 +202,7 @@
 			continue
 		}
 		open = append(open, s)
-		if s.avoid <= now {
+		if s.avoid <= now && !s.silent(now, t.service(s.Service).pace.tokens()) {
 			sound = append(sound, s)
 		}
 	}
@@ -209,6 +212,16 @@
 	return open
 }
 
+// silent reports whether an endpoint has said nothing for too long, on any
+// connection, with work outstanding. An engine may be busy reading.
+func (s *state) silent(now domain.Instant, pace float64) bool {
+	if s.own.inFlight == 0 {
+		return false
+	}
+	reading := time.Duration(float64(s.backlog()) / pace * float64(time.Millisecond))
+	return now.Sub(max(s.heard, s.asked)) > silenceBound+reading
+}
+
 // baseScore is the share of an endpoint's slots in use, and what speaks against it.
 func (t *Table) baseScore(now domain.Instant, s *state) float64 {
 	score := float64(s.demand(now))/float64(s.slots()) + s.failures*failureCost
@@ -248,6 +261,9 @@
 
 func (t *Table) place(now domain.Instant, s *state, w work, ticket Ticket) *Ticket {
 	ticket.Endpoint, ticket.state, ticket.work, ticket.at = s.Endpoint, s, w, now
+	if s.own.inFlight == 0 {
+		s.asked = now
+	}
 	ticket.Backlog, ticket.Unread = s.backlog(), w.unread
 	s.own.add(w, 1)
 	return &ticket
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -89,6 +89,32 @@
 	assert.Equal(t, table.Pick(start, plain()).Endpoint.ID, lost)
 }
 
+// An endpoint that says nothing on any connection while work is outstanding is
+// left until it is heard again.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	table := newTable(2)
+	first := table.Pick(start, plain())
+	silent := first.Endpoint.ID
+	now := start.Add(silenceBound + time.Millisecond)
+	for range 5 {
+		assert.Assert(t, table.Pick(now, plain()).Endpoint.ID != silent)
+	}
+	table.Heard(now, first)
+	assert.Equal(t, table.Pick(now, plain()).Endpoint.ID, silent)
+}
+
+// An engine that has much to read is not silent: it is busy.
+func TestBusyEngineIsNotSilent(t *testing.T) {
+	table := newTable(1)
+	ticket := table.Pick(start, longQuery(1))
+	assert.Assert(t, ticket != nil)
+	s := table.byID["e00"]
+	s.own.unread = 60_000
+	now := start.Add(silenceBound + 500*time.Millisecond)
+	assert.Assert(t, !s.silent(now, initialPace))
+	assert.Assert(t, s.silent(now.Add(time.Second), initialPace))
+}
+
 func TestSessionsHaveAHome(t *testing.T) {
 	table := newTable(12)
 	home := table.Pick(start, longQuery(7))
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -68,7 +68,10 @@
 }
 
 // Stop ends the listener.
-func (r *Replica) Stop() { r.listener.Close() }
+func (r *Replica) Stop() { closeQuietly(r.listener) }
+
+// closeQuietly closes what a caller may have closed already.
+func closeQuietly(c io.Closer) { _ = c.Close() }
 
 // Address returns IP:PORT.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
@@ -115,7 +118,7 @@
 }
 
 func (r *Replica) serve(conn net.Conn) {
-	defer conn.Close()
+	defer closeQuietly(conn)
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -149,11 +152,13 @@
 	switch fault {
 	case Reset:
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
+			// Without lingering, closing sends a reset.
+			_ = tcp.SetLinger(0)
 		}
 		return false
 	case Hang:
-		io.Copy(io.Discard, conn)
+		// Ends when the caller closes.
+		_, _ = io.Copy(io.Discard, conn)
 		return false
 	case WrongReply:
 		fmt.Fprint(conn, "\x00\x01\x02 no answer\r\n\r\n")
