--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,7 +98,9 @@
 		return attemptBroken, placement.ResultUnreachable, nil
 	}
 	own := func(h http.Header) bool { return g.dialect.Owns(c.request.ID, h) }
-	response, err := a.conn.ReadHead(c.http.Method, own)
+	// Closing the body would read the rest of it. An answer that isn't read to its
+	// end takes its connection with it.
+	response, err := a.conn.ReadHead(c.http.Method, own) //nolint:bodyclose // see above
 	if err != nil {
 		c.runs++
 		c.cause = err.Error()
