--- a/cmd/dunlinpulley-dev/main.go
+++ b/cmd/dunlinpulley-dev/main.go
@@ -5,11 +5,29 @@
 	"context"
 	"os"
 
+	"github.com/urfave/cli/v3"
+
 	"github.com/dunlinpulley/dunlinpulley/internal/app"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
+	"github.com/dunlinpulley/dunlinpulley/platform/wiring"
 )
 
 func main() {
-	err := app.DevCommand().Run(context.Background(), os.Args)
+	err := command().Run(context.Background(), os.Args)
 	os.Exit(settings.ExitCode(os.Stderr, err))
 }
+
+func command() *cli.Command {
+	cmd := app.DevCommand()
+	cmd.Flags = append(cmd.Flags, &cli.BoolFlag{
+		Name: "platform", Usage: "with --once: run a gateway against stand-ins of the users' platform in place of entries and agents",
+	})
+	embedded := cmd.Action
+	cmd.Action = func(ctx context.Context, c *cli.Command) error {
+		if c.Bool("platform") {
+			return wiring.DevOnce(ctx, os.Stdout)
+		}
+		return embedded(ctx, c)
+	}
+	return cmd
+}
--- a/internal/callerapi/answer_test.go
+++ b/internal/callerapi/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -185,7 +186,20 @@
 	rest, err := io.ReadAll(reader)
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(string(rest), "event: error\ndata: {"), string(rest))
-	assert.Assert(t, strings.HasSuffix(string(rest), "event: outcome\ndata: {\"outcome\":\"not-run\",\"request_id\":\"request-1\"}\n\n"), string(rest))
+	_, data, found := strings.Cut(string(rest), "event: outcome\ndata: ")
+	assert.Assert(t, found && strings.HasSuffix(data, "}\n\n"), string(rest))
+	// Client libraries read the choices of every event: they are there, and empty.
+	var chunk struct {
+		ID, Object, Model  string
+		Choices            []any
+		Outcome, RequestID string
+	}
+	chunk.Choices = []any{"absent"}
+	assert.NilError(t, json.Unmarshal([]byte(strings.ReplaceAll(data, "request_id", "requestid")), &chunk))
+	assert.Equal(t, chunk.Object, "chat.completion.chunk")
+	assert.Equal(t, len(chunk.Choices), 0)
+	assert.Equal(t, chunk.Outcome, "not-run")
+	assert.Equal(t, chunk.RequestID, "request-1")
 	assert.Equal(t, res.Trailer.Get(HeaderOutcome), "not-run")
 }
 
--- a/internal/callerapi/chatstream.go
+++ b/internal/callerapi/chatstream.go
@@ -18,8 +18,10 @@
 	endOfStream  = "[DONE]"
 )
 
-// outcomeBody is the data of the outcome event.
-type outcomeBody struct {
+// outcomeChunk is the data of the outcome event: a chunk without choices, as
+// client libraries take the data of each event for a chunk.
+type outcomeChunk struct {
+	chatCompletion
 	Outcome   string           `json:"outcome"`
 	RequestID domain.RequestID `json:"request_id"`
 }
@@ -127,7 +129,9 @@
 		err = s.event(eventError, failed(end).body(s.x.id))
 	}
 	if err == nil {
-		err = s.event(eventOutcome, outcomeBody{Outcome: end.Outcome.String(), RequestID: s.x.id})
+		chunk := s.x.completion(s.req, objectChunk, chatChoice{})
+		chunk.Choices = []chatChoice{}
+		err = s.event(eventOutcome, outcomeChunk{chatCompletion: chunk, Outcome: end.Outcome.String(), RequestID: s.x.id})
 	}
 	if err == nil && end.Outcome == domain.OutcomeComplete {
 		err = s.write([]byte("data: " + endOfStream + "\n\n"))
