--- /dev/null
+++ b/internal/soak/cluster_test.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
+)
+
+const (
+	// patience bounds the waits for gateways. It is no target.
+	patience = 60 * time.Second
+	callKey  = "soak-key"
+)
+
+// cluster is gateway processes with stand-ins in this process.
+type cluster struct {
+	t        *testing.T
+	program  string
+	store    *metastore.Store
+	server   *httptest.Server
+	replicas []*replica.Replica
+	gateways []*process
+	version  int
+
+	mu      sync.Mutex
+	log     []string
+	passing int                  // number of the key that is to be taken away next
+	revoked map[string]time.Time // keys, and when they were taken away
+}
+
+// process is a gateway process. Only processes in this table are ever signalled.
+type process struct {
+	settings string
+	front    string
+	ready    string
+	cmd      *exec.Cmd
+	stopped  bool // by SIGSTOP
+}
+
+func parseSeeds(t *testing.T, text string) []uint64 {
+	var list []uint64
+	for _, part := range strings.Split(text, ",") {
+		first, last, ranged := strings.Cut(part, "-")
+		from, err := strconv.ParseUint(first, 10, 64)
+		assert.NilError(t, err)
+		to := from
+		if ranged {
+			to, err = strconv.ParseUint(last, 10, 64)
+			assert.NilError(t, err)
+		}
+		for n := from; n <= to; n++ {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "router")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/dunlinpulley/dunlinpulley/cmd/dunlinpulley-router").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return program
+}
+
+func startCluster(t *testing.T, program string, gateways, replicas int) *cluster {
+	c := &cluster{t: t, program: program, store: metastore.New(), revoked: make(map[string]time.Time)}
+	c.server = httptest.NewServer(c.store)
+	t.Cleanup(c.server.Close)
+	for i := range replicas {
+		r, err := replica.Start(fmt.Sprintf("i-%d", i))
+		assert.NilError(t, err)
+		t.Cleanup(r.Stop)
+		c.replicas = append(c.replicas, r)
+		c.register(r, "ready")
+	}
+	c.configure(callKey)
+	for i := range gateways {
+		g := c.newProcess(i)
+		c.gateways = append(c.gateways, g)
+		c.start(g)
+	}
+	t.Cleanup(func() {
+		for _, g := range c.gateways {
+			c.kill(g)
+		}
+	})
+	for _, g := range c.gateways {
+		c.waitServing(g)
+	}
+	return c
+}
+
+func (c *cluster) logf(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log = append(c.log, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (c *cluster) newProcess(i int) *process {
+	g := &process{
+		front: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
+		ready: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
+	}
+	peer := freePort(c.t)
+	settings := map[string]any{
+		"node_name": fmt.Sprintf("gateway-%d", i), "ip": "127.0.0.1", "zone": "a",
+		"listen": map[string]string{"front": g.front, "ready": g.ready}, "internal_ports": []int{peer, peer},
+		"limits":   map[string]any{"memory_mb": 128},
+		"bounds":   map[string]any{"grace_s": 5, "revoke_ms": 5000, "strict_revoke": true, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 80},
+		"provider": map[string]any{"address": strings.TrimPrefix(c.server.URL, "http://")},
+	}
+	data, err := json.Marshal(settings)
+	assert.NilError(c.t, err)
+	g.settings = filepath.Join(c.t.TempDir(), fmt.Sprintf("gateway-%d.json", i))
+	assert.NilError(c.t, os.WriteFile(g.settings, data, 0o600))
+	return g
+}
+
+func (c *cluster) start(g *process) {
+	g.cmd = exec.Command(c.program, "--settings", g.settings)
+	assert.NilError(c.t, g.cmd.Start())
+}
+
+func (c *cluster) kill(g *process) {
+	_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	_ = g.cmd.Process.Kill()
+	_ = g.cmd.Wait()
+}
+
+func (c *cluster) register(r *replica.Replica, state string) {
+	entry := map[string]any{"service": "app", "address": r.Address(), "zone": "a", "slots": 8, "state": state, "born": 1}
+	data, err := json.Marshal(entry)
+	assert.NilError(c.t, err)
+	c.store.Put("servers", r.ID, data)
+}
+
+func (c *cluster) configure(keys ...string) {
+	c.version++
+	route := func(prefix, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "app.example", "prefix": prefix, "kind": kind, "timeout_ms": 2000,
+			"service": "app", "max_attempts": attempts, "resumable": resumable,
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": c.version,
+		"routes": []any{
+			route("/once/", "non_idempotent", 1, false), route("/safe/", "idempotent", 2, false),
+			route("/stream/", "streaming", 1, false), route("/stream/resume/", "streaming", 2, true),
+		},
+		"services": []any{map[string]any{"name": "app", "max_connections": 200}},
+		"tenants":  []any{map[string]any{"name": "account", "api_keys": keys}},
+	})
+	assert.NilError(c.t, err)
+	c.store.Put("op", "config", data)
+}
+
+func (c *cluster) waitServing(g *process) {
+	c.t.Helper()
+	client := &http.Client{Timeout: time.Second}
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + g.ready + "/api/ready")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	c.t.Errorf("gateway %s is not ready after %s", g.front, patience)
+}
