--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -26,8 +26,6 @@
 	quietInterval = 400 * time.Millisecond
 	// mentionEvery is the number of digests of which one names the known peers.
 	mentionEvery = 8
-	// outputScale is the seconds for which the rate of long outputs is told, as whole numbers.
-	outputScale = 100
 	// maxDatagram is the largest digest that is read, in bytes.
 	maxDatagram = 8192
 )
@@ -157,7 +155,6 @@
 		d.Service = append(d.Service, r.Service)
 		d.Reading = append(d.Reading, uint32(max(r.Tokens, 0)))
 		d.SetAside = append(d.SetAside, uint32(max(r.SetAside, 0)))
-		d.Outputs = append(d.Outputs, uint32(max(r.Outputs, 0)*outputScale))
 	}
 	for _, address := range named {
 		bytes := address.As4()
@@ -220,7 +217,7 @@
 			return placement.PeerDigest{}, false
 		}
 	}
-	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) || len(d.Service) != len(d.Outputs) {
+	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) {
 		return placement.PeerDigest{}, false
 	}
 	var digest placement.PeerDigest
@@ -238,7 +235,6 @@
 	for i := range d.Service {
 		digest.Readings = append(digest.Readings, placement.PeerReading{
 			Service: d.Service[i], Tokens: int(d.Reading[i]), SetAside: int(d.SetAside[i]),
-			Outputs: float64(d.Outputs[i]) / outputScale,
 		})
 	}
 	return digest, true
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -84,7 +84,7 @@
 func TestDigestRoundTrip(t *testing.T) {
 	want := placement.PeerDigest{
 		Loads:    []placement.PeerLoad{{Endpoint: 7, InFlight: 1, Decoding: 2, Unread: 3, Long: 4, Memory: 5, Given: 6}},
-		Readings: []placement.PeerReading{{Service: 8, Tokens: 9, SetAside: 10, Outputs: 2.5}},
+		Readings: []placement.PeerReading{{Service: 8, Tokens: 9, SetAside: 10}},
 	}
 	e := &Exchange{}
 	got, ok := decode(e.encode(want, nil))
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -49,11 +49,7 @@
 
 // Asked notes that a request has arrived, whether it can be placed or not.
 func (t *Table) Asked(now domain.Instant, q Query) {
-	switch {
-	case len(q.Parts) == 0:
-		return
-	case decodeHeavy(q):
-		t.service(q.Service).outputs.add(now, 1)
+	if len(q.Parts) == 0 || decodeHeavy(q) {
 		return
 	}
 	own := q.Parts[len(q.Parts)-1].Tokens
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -99,10 +99,7 @@
 	split     split
 	memory    int // of one engine in tokens; 0 if not known
 	pace      pace
-	reading   rate // prompt tokens that callers of this process ask for
-	outputs   rate // long outputs that they ask for
-	// outputTime is how long a long output takes, averaged; 0 if not known.
-	outputTime time.Duration
+	reading   rate
 }
 
 // Settings are the figures that placement works with.
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -76,9 +76,6 @@
 	failed := 0.0
 	switch result {
 	case ResultServed:
-		if k.work.decoding > 0 {
-			t.service(k.Endpoint.Service).learnOutputTime(now.Sub(k.at))
-		}
 	case ResultRefused:
 		s.avoid = max(s.avoid, now.Add(refusedPause))
 		return
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -74,13 +74,3 @@
 func (r *rate) value(now domain.Instant) float64 {
 	return r.sum * math.Exp(-float64(now.Sub(r.at))/float64(rateTime)) / rateTime.Seconds()
 }
-
-// outputTimeWeight is the weight of one long output in the time that they take.
-const outputTimeWeight = 0.05
-
-func (s *service) learnOutputTime(took time.Duration) {
-	if s.outputTime == 0 {
-		s.outputTime = took
-	}
-	s.outputTime += time.Duration(float64(took-s.outputTime) * outputTimeWeight)
-}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -30,8 +30,6 @@
 	Tokens int
 	// SetAside is how many endpoints the process would set aside for long outputs.
 	SetAside int
-	// Outputs is the long outputs that its callers ask for in a second.
-	Outputs float64
 }
 
 // PeerDigest is what a process tells the others.
@@ -60,9 +58,7 @@
 	slices.SortFunc(d.Loads, func(a, b PeerLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	for name, of := range t.services {
 		if tokens := int(of.reading.value(now)); tokens > 0 || of.split.wanted > 0 {
-			d.Readings = append(d.Readings, PeerReading{
-				Service: serviceHash(name), Tokens: tokens, SetAside: of.split.wanted, Outputs: of.outputs.value(now),
-			})
+			d.Readings = append(d.Readings, PeerReading{Service: serviceHash(name), Tokens: tokens, SetAside: of.split.wanted})
 		}
 	}
 	slices.SortFunc(d.Readings, func(a, b PeerReading) int { return cmp.Compare(a.Service, b.Service) })
@@ -91,24 +87,18 @@
 	}
 }
 
-// demand is what callers of all processes ask of a service's engines.
-type demand struct {
-	reading  float64 // prompt tokens a second
-	outputs  float64 // long outputs a second
-	setAside []int   // the sizes that the peers would choose for the split
-}
-
-func (t *Table) asked(now domain.Instant, of *service, name string) demand {
-	d := demand{reading: of.reading.value(now), outputs: of.outputs.value(now)}
+// asked returns the prompt tokens a second that callers of all processes ask a
+// service's engines to read, and the sizes that the peers would choose for the split.
+func (t *Table) asked(now domain.Instant, of *service, name string) (tokens float64, setAside []int) {
+	tokens = of.reading.value(now)
 	hash := serviceHash(name)
-	for _, digest := range t.peers {
-		for _, r := range digest.Readings {
+	for _, d := range t.peers {
+		for _, r := range d.Readings {
 			if r.Service == hash {
-				d.reading += float64(r.Tokens)
-				d.outputs += r.Outputs
-				d.setAside = append(d.setAside, r.SetAside)
+				tokens += float64(r.Tokens)
+				setAside = append(setAside, r.SetAside)
 			}
 		}
 	}
-	return d
+	return tokens, setAside
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -117,7 +117,8 @@
 
 func (t *Table) pickEngine(now domain.Instant, of *service, usable []*state, q Query) *Ticket {
 	open := slices.DeleteFunc(slices.Clone(of.endpoints), func(s *state) bool { return s.Draining })
-	size := of.split.update(now, open, t.asked(now, of, q.Service), of)
+	reading, setAside := t.asked(now, of, q.Service)
+	size := of.split.update(now, open, reading, of.pace.tokens(), setAside)
 	decode := decodeHeavy(q)
 	side := open[size:]
 	if decode && size > 0 {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -49,14 +49,16 @@
 	at     domain.Instant
 }
 
-// update returns the size for what is in progress and asked for now.
-func (p *split) update(now domain.Instant, endpoints []*state, asked demand, of *service) int {
+// update returns the size for what is in progress and asked for now. reading is
+// the prompt tokens a second that are asked for, pace those that one engine reads
+// in a millisecond, peersWant the sizes that the peers would choose.
+func (p *split) update(now domain.Instant, endpoints []*state, reading, pace float64, peersWant []int) int {
 	n := len(endpoints)
 	if n < 2 {
 		*p = split{}
 		return 0
 	}
-	need := p.need(endpoints, asked, of)
+	need := p.need(endpoints, reading, pace)
 	if p.wanted == 0 {
 		p.needed, p.wanted = need, int(need+0.5)
 	}
@@ -69,7 +71,7 @@
 	if p.needed > float64(p.wanted)+growAt || p.needed < float64(p.wanted)-shrinkAt {
 		p.wanted = int(p.needed + 0.5)
 	}
-	p.size = max(1, min(median(append(asked.setAside, p.wanted)), n-1))
+	p.size = max(1, min(median(append(peersWant, p.wanted)), n-1))
 	p.recent = min(max(p.recent, p.size), n)
 	for p.recent > p.size && endpoints[p.recent-1].streams() == 0 {
 		p.recent--
@@ -85,20 +87,15 @@
 
 // need is the size that gives both sides the same share of what they need.
 // When there is not enough for both, long outputs come first: they suffer more.
-//
-// Long outputs in progress follow a jump of them only after they have gone on
-// for a while, so that the number that will be in progress at the present rate
-// counts if it is larger.
-func (p *split) need(endpoints []*state, asked demand, of *service) float64 {
+func (p *split) need(endpoints []*state, reading, pace float64) float64 {
 	n := float64(len(endpoints))
 	decoding, slots := 0, 0
 	for _, s := range endpoints {
 		decoding += s.own.decoding + s.peers.decoding
 		slots += s.slots()
 	}
-	expected := max(float64(decoding), asked.outputs*of.outputTime.Seconds())
-	decode := expected / (packShare * float64(slots) / n)
-	read := asked.reading / (readShare * of.pace.tokens() * 1000)
+	decode := float64(decoding) / (packShare * float64(slots) / n)
+	read := reading / (readShare * pace * 1000)
 	need := decode
 	if decode+read > 0 && decode+read < n {
 		need = n * decode / (decode + read)
