--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -160,6 +160,59 @@
 	}
 }
 
+// Engines with several long outputs are spared long prompts on either side, and
+// those that have just left the side of long outputs until the last one ends.
+func TestEnginesWithLongOutputsAreSpared(t *testing.T) {
+	table := newTable(12)
+	home := table.Pick(start, longQuery(7))
+	s := home.state
+	s.own.decoding = sparedStreams
+	for table.Pick(start, longQuery(7)) != nil {
+		continue
+	}
+	assert.Equal(t, s.own.inFlight, 1, "no further long prompt")
+
+	table = newTable(12)
+	table.Pick(start, notesQuery(1))
+	open := table.service("s").endpoints
+	split := &table.service("s").split
+	split.recent = len(open)
+	open[len(open)-1].own.decoding = 1
+	for n := range uint64(60) {
+		ticket := table.Pick(start, longQuery(n))
+		assert.Assert(t, ticket == nil || ticket.state != open[len(open)-1])
+	}
+}
+
+// Long prompts are metered, so that engines have time for what they answer.
+func TestLongPromptsAreMetered(t *testing.T) {
+	table := newTable(12)
+	now := start
+	given := make(map[string]float64)
+	const (
+		seconds = 10
+		// mostDuty leaves engines a quarter of their time for what they answer.
+		mostDuty = 0.75
+	)
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		for range 5 {
+			if ticket := table.Pick(now, longQuery(7)); ticket != nil {
+				given[ticket.Endpoint.ID] += float64(ticket.Unread)
+				// The engine reads at once, so that nothing but the meter holds it back.
+				table.Heard(now.Add(time.Millisecond), ticket)
+				table.End(now.Add(time.Millisecond), ticket, ResultServed)
+			}
+		}
+	}
+	assert.Assert(t, len(given) > 0)
+	pace := table.service("s").pace.tokens()
+	for endpoint, tokens := range given {
+		most := pace*mostDuty*1000*seconds + 2*9200
+		assert.Assert(t, tokens <= 1.2*most, "%s was given %.0f tokens, at most %.0f at pace %.0f", endpoint, tokens, most, pace)
+	}
+}
+
 // A jump of long outputs gets more endpoints; the split goes back later.
 func TestSplitFollowsDemand(t *testing.T) {
 	table := newTable(12)
