Callers that return after a refusal go behind those that can still be in time

Change: a caller's stated patience, beside what is usual on its route, tells what it has waited already; such callers can't be in time any more and are held for a tenth of their patience.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,12 +40,14 @@
 	// patience is when the caller itself gives up.
 	patience time.Time
 
-	ticket  *placement.Ticket // of the last attempt, nil before it
-	placed  time.Duration     // from arrival to the first placement
-	tried   []string          // endpoints that have been sent the request or could not be reached
-	runs    int               // endpoints that may have run it
-	sends   int               // endpoints that it was sent to
-	started bool              // the caller has got the head of an answer
+	ticket *placement.Ticket // of the last attempt, nil before it
+	placed time.Duration     // from arrival to the first placement
+	// spent is the time that the caller has waited in earlier attempts.
+	spent   time.Duration
+	tried   []string // endpoints that have been sent the request or could not be reached
+	runs    int      // endpoints that may have run it
+	sends   int      // endpoints that it was sent to
+	started bool     // the caller has got the head of an answer
 	// left, rejected and cut tell how the request ended: the caller was gone, it
 	// got an answer of the gateway's own, or its answer was broken off.
 	left, rejected, cut bool
@@ -94,17 +96,18 @@
 		}
 	}
 	c.rank = c.config.Rank(c.route, c.account)
-	c.setDeadline()
+	g.setDeadline(c)
 	return g.readBody(c)
 }
 
-func (c *call) setDeadline() {
+func (g *Gateway) setDeadline(c *call) {
 	patience := c.request.Patience
 	if patience <= 0 {
 		patience = defaultPatience
 	}
 	c.patience = c.arrived.Add(patience)
 	c.deadline = c.patience
+	c.spent = g.spent(c.route.Name, patience)
 	if timeout := c.route.Timeout; timeout > 0 && timeout < patience {
 		c.deadline = c.arrived.Add(timeout)
 	}
@@ -283,3 +286,29 @@
 		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
+
+const (
+	// minSpent is the difference of patience that tells a caller that returns.
+	minSpent = 50 * time.Millisecond
+	// patienceFall is the share of the difference by which a less patient caller
+	// lowers what is taken as usual, so that one very patient caller doesn't make
+	// all others seem to return.
+	patienceFall = 0.005
+)
+
+// spent tells how long a caller has waited already, from how much less patient
+// it is than others of the route.
+func (g *Gateway) spent(route string, patience time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if patience >= g.patience[route] {
+		g.patience[route] = patience
+		return 0
+	}
+	spent := g.patience[route] - patience
+	g.patience[route] -= time.Duration(float64(spent) * patienceFall)
+	if spent > minSpent {
+		return spent
+	}
+	return 0
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,14 +56,15 @@
 	stopping atomic.Bool
 	known    atomic.Bool // the registry has been read
 
-	mu      sync.Mutex
-	table   *placement.Table
-	budgets map[string]*retrybudget.Budget
-	leaving map[string]domain.Instant // endpoints without an entry that are still used, until then
-	lost    bool                      // the registry can't be read
-	back    domain.Instant            // when it could be read again
-	queue   waitqueue.Queue
-	waiters map[*waitqueue.Waiter]*waiting
+	mu       sync.Mutex
+	table    *placement.Table
+	budgets  map[string]*retrybudget.Budget
+	leaving  map[string]domain.Instant // endpoints without an entry that are still used, until then
+	lost     bool                      // the registry can't be read
+	back     domain.Instant            // when it could be read again
+	patience map[string]time.Duration  // most patient caller of each route
+	queue    waitqueue.Queue
+	waiters  map[*waitqueue.Waiter]*waiting
 
 	caller, ready, metrics *http.Server
 }
@@ -82,6 +83,7 @@
 		budgets:  make(map[string]*retrybudget.Budget),
 		leaving:  make(map[string]domain.Instant),
 		waiters:  make(map[*waitqueue.Waiter]*waiting),
+		patience: make(map[string]time.Duration),
 	}
 	g.peers = peers.NewExchange(s.PeerAddress, s.PeerSeeds, g)
 	return g
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -20,6 +20,9 @@
 	holdShare = 0.35
 )
 
+// returnedHoldShare is that share for a caller that has been turned away before.
+const returnedHoldShare = 0.1
+
 // waiting is a request that waits for an endpoint, and how it is told.
 type waiting struct {
 	waitqueue.Waiter
@@ -74,12 +77,16 @@
 	if c.route.Target <= 0 {
 		return g.instant(c.deadline)
 	}
-	return g.instant(c.arrived).Add(time.Duration(float64(c.route.Target) * (1 - startAllowance)))
+	return g.instant(c.arrived).Add(time.Duration(float64(c.route.Target)*(1-startAllowance)) - c.spent)
 }
 
 // holdUntil is when a request is turned away that has not started.
 func (g *Gateway) holdUntil(c *call) domain.Instant {
-	return g.instant(c.arrived).Add(time.Duration(float64(c.deadline.Sub(c.arrived)) * holdShare))
+	share := holdShare
+	if c.spent > 0 {
+		share = returnedHoldShare
+	}
+	return g.instant(c.arrived).Add(time.Duration(float64(c.deadline.Sub(c.arrived)) * share))
 }
 
 // dispatch gives waiting requests to endpoints that have become free.
