First-time callers are held for a quarter of their patience

Cause: a request that can't be in time any more was held up to 0.35 of its caller's patience before it was told. Change: holdShare 0.25, so that its caller hears sooner.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -17,7 +17,7 @@
 	startAllowance = 0.3
 	// holdShare is the share of a caller's patience in which a request may wait
 	// here; the rest is for the answer.
-	holdShare = 0.35
+	holdShare = 0.25
 )
 
 // returnedHoldShare is that share for a caller that has been turned away before.
