The extra repeats are shared by all gateways; the platform's ready path and unused settings leave the gateway

Change: the extra is divided by the gateways that may be running; TestExtraIsSharedByProcesses fails with the fixed eighth. The path of the readiness check comes from platform/; settings that nothing read are gone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,6 @@
 // exchange returns what it read if the connection can be used again.
 func (a *attempt) exchange() (attemptEnd, placement.Result, *endpointconn.Whole) {
 	g, c := a.gateway, a.call
-	c.sends++
 	if err := a.conn.Write(a.encode()); err != nil {
 		c.runs++
 		c.cause = err.Error()
@@ -240,14 +239,15 @@
 func (g *Gateway) budget(service string) *retrybudget.Budget {
 	b := g.budgets[service]
 	if b == nil {
-		b = retrybudget.New(g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetryExtra/extraSplit)
+		b = retrybudget.New(g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetryExtra)
 		g.budgets[service] = b
 	}
 	return b
 }
 
-// extraSplit is the number of processes that the extra repeats are divided by.
-const extraSplit = 8
+// minProcesses is the least number of gateways that the extra repeats are
+// divided by: one that has just started doesn't know all of them yet.
+const minProcesses = 6
 
 func (g *Gateway) countRequest(service string) {
 	g.mu.Lock()
@@ -256,8 +256,10 @@
 }
 
 func (g *Gateway) takeRepeat(service string) bool {
+	// One more than are known, as one may have been replaced a moment ago.
+	processes := max(g.peers.Known()+2, minProcesses)
 	g.mu.Lock()
-	taken := g.budget(service).Take(g.now())
+	taken := g.budget(service).Take(g.now(), processes)
 	g.mu.Unlock()
 	if taken {
 		g.counters.repeats.Inc(1)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,7 +46,6 @@
 	spent   time.Duration
 	tried   []string // endpoints that have been sent the request or could not be reached
 	runs    int      // endpoints that may have run it
-	sends   int      // endpoints that it was sent to
 	started bool     // the caller has got the head of an answer
 	// left, rejected and cut tell how the request ended: the caller was gone, it
 	// got an answer of the gateway's own, or its answer was broken off.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,7 @@
 
 func (g *Gateway) listen() error {
 	readiness := chi.NewRouter()
-	readiness.Get("/api/ready", g.answerReady)
+	readiness.Get(g.settings.ReadyPath, g.answerReady)
 	g.ready = &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
 	g.caller = &http.Server{
 		Handler:           g,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,6 +16,8 @@
 	Listen string
 	// ReadyListen is the address of the readiness check.
 	ReadyListen string
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
 	// MetricsListen is the address of the metrics page. Empty serves none.
 	MetricsListen string
 	// Store is the address of the platform's store.
@@ -26,20 +28,14 @@
 	PeerSeeds []netip.AddrPort
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
-	// MaxFiles is the number of descriptors that the process may have.
-	MaxFiles int
 	// StopGrace is the time from the order to stop until the process is killed.
 	StopGrace time.Duration
 	// KeyValidity is how long a set of keys may be used that is not confirmed
 	// to be the newest. Zero means for ever.
 	KeyValidity time.Duration
-	// Drain is how long a leaving endpoint takes requests after it said so.
-	Drain time.Duration
 	// RetryRatio and RetryExtra bound the repeats in each RetryWindow, of all
 	// gateways together: a share of the requests, and a number besides.
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// ReuseWindow is how long a prompt part that was used is worth keeping.
-	ReuseWindow time.Duration
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -58,7 +58,6 @@
 	heard    domain.Instant // last bytes received
 	asked    domain.Instant // when work became outstanding after there was none
 	failures float64        // recent share of failed requests, 0 to 1
-	failedAt domain.Instant
 	avoid    domain.Instant // not used before, unless nothing else is left
 
 	parts map[uint64]domain.Instant // prompt parts placed here, with the last use
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -92,5 +92,4 @@
 		s.avoid = max(s.avoid, now.Add(silencePause))
 	}
 	s.failures += (failed - s.failures) * failureWeight
-	s.failedAt = now
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,5 +1,6 @@
 // Package retrybudget bounds the requests that are sent to a second endpoint,
-// in any window of time, by a share of the requests and a small extra.
+// in any window of time, by a share of the requests and a small extra that all
+// processes share.
 package retrybudget
 
 import (
@@ -26,8 +27,8 @@
 	repeats  [buckets]int
 }
 
-// New returns a budget that allows, in a window, ratio repeats a request and
-// extra repeats besides.
+// New returns a budget that allows, in a window, ratio repeats a request and a
+// share of extra repeats besides.
 func New(window time.Duration, ratio, extra float64) *Budget {
 	return &Budget{window: window, ratio: ratio, extra: extra}
 }
@@ -35,15 +36,16 @@
 // Request counts a request.
 func (b *Budget) Request(now domain.Instant) { b.requests[b.advance(now)]++ }
 
-// Take takes one repeat and reports whether there was one.
-func (b *Budget) Take(now domain.Instant) bool {
+// Take takes one repeat and reports whether there was one. The extra is divided
+// between a number of processes; at least one.
+func (b *Budget) Take(now domain.Instant, processes int) bool {
 	at := b.advance(now)
 	requests, repeats := 0, 0
 	for i := range buckets {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > margin*(b.ratio*float64(requests)+b.extra) {
+	if float64(repeats+1) > margin*(b.ratio*float64(requests)+b.extra/float64(max(processes, 1))) {
 		return false
 	}
 	b.repeats[at]++
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -29,7 +29,7 @@
 				b.Request(now)
 				requests = append(requests, now)
 			}
-			if b.Take(now) {
+			if b.Take(now, 1) {
 				repeats = append(repeats, now)
 			}
 			// A window of the budget is a whole number of buckets, so it may be one bucket short.
@@ -52,13 +52,26 @@
 
 func TestEmptyBudget(t *testing.T) {
 	b := New(window, 0, 0)
-	assert.Assert(t, !b.Take(0))
+	assert.Assert(t, !b.Take(0, 1))
 }
 
 func TestRepeatsComeBackAfterAWindow(t *testing.T) {
 	b := New(window, 0, 2.5)
-	assert.Assert(t, b.Take(0))
-	assert.Assert(t, b.Take(1))
-	assert.Assert(t, !b.Take(2))
-	assert.Assert(t, b.Take(domain.Instant(0).Add(window+time.Second)))
+	assert.Assert(t, b.Take(0, 1))
+	assert.Assert(t, b.Take(1, 1))
+	assert.Assert(t, !b.Take(2, 1))
+	assert.Assert(t, b.Take(domain.Instant(0).Add(window+time.Second), 1))
+}
+
+// The extra is there once, however many processes there are.
+func TestExtraIsSharedByProcesses(t *testing.T) {
+	const processes = 23
+	taken := 0
+	for range processes {
+		b := New(window, 0, 80)
+		for b.Take(0, processes) {
+			taken++
+		}
+	}
+	assert.Assert(t, taken > 0 && taken <= 80, "%d repeats", taken)
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -9,10 +9,14 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/dunlinpulley/dunlinpulley/platform/dialect"
 )
 
 const (
 	callerCount = 6
+	// patienceOfCallers is how long callers wait.
+	patienceOfCallers = 3 * time.Second
 	// revokeBound is the bound of the settings in which a key must stop working.
 	revokeBound = 5 * time.Second
 )
@@ -89,9 +93,9 @@
 		return made
 	}
 	request.Host = "app.example"
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", "3000")
-	request.Header.Set("Api-Key", made.key)
+	for name, values := range (dialect.Dialect{}).CallerHeaders(id, made.key, patienceOfCallers) {
+		request.Header[name] = values
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		made.err = err
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
+	"github.com/dunlinpulley/dunlinpulley/platform/settings"
 )
 
 const (
@@ -126,14 +127,14 @@
 		ready: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
 	}
 	peer := freePort(c.t)
-	settings := map[string]any{
+	file := map[string]any{
 		"node_name": fmt.Sprintf("gateway-%d", i), "ip": "127.0.0.1", "zone": "a",
 		"listen": map[string]string{"front": g.front, "ready": g.ready}, "internal_ports": []int{peer, peer},
 		"limits":   map[string]any{"memory_mb": 128},
 		"bounds":   map[string]any{"grace_s": 5, "revoke_ms": 5000, "strict_revoke": true, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 80},
 		"provider": map[string]any{"address": strings.TrimPrefix(c.server.URL, "http://")},
 	}
-	data, err := json.Marshal(settings)
+	data, err := json.Marshal(file)
 	assert.NilError(c.t, err)
 	g.settings = filepath.Join(c.t.TempDir(), fmt.Sprintf("gateway-%d.json", i))
 	assert.NilError(c.t, os.WriteFile(g.settings, data, 0o600))
@@ -183,7 +184,7 @@
 	c.t.Helper()
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get("http://" + g.ready + "/api/ready")
+		response, err := client.Get("http://" + g.ready + settings.ReadyPath)
 		if err != nil {
 			continue
 		}
