--- /dev/null
+++ b/internal/peers/bench_test.go
@@ -0,0 +1,34 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/placement"
+)
+
+// BenchmarkDigest reports the bytes of a digest by the number of endpoints that
+// a gateway has work at.
+func BenchmarkDigest(b *testing.B) {
+	for _, n := range []int{12, 42, 270} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			var d placement.PeerDigest
+			for i := range n {
+				d.Loads = append(d.Loads, placement.PeerLoad{
+					Endpoint: uint32(i) * 7919, InFlight: 3, Decoding: 1, Unread: 4000, Long: 3000, Memory: 9000, Given: 9000,
+				})
+			}
+			e := &Exchange{}
+			var datagram []byte
+			for range b.N {
+				var err error
+				if datagram, err = proto.Marshal(e.encode(d, nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(datagram)), "bytes")
+		})
+	}
+}
