End-to-end tests tell which process ended by itself, and by what

Ruled out so far: the stand-in's read limit (a read of the audit costs one of 2000 a second) and file descriptors (limit 20000). Change: a process that the test didn't end fails the test with its name, id, and the signal or status that ended it; the last read of the audit trail is printed on failure. The cause is not shown yet.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -66,6 +66,8 @@
 	cmd     *exec.Cmd
 	log     *os.File
 	ended   chan error
+	// stopping is set before the test ends the process.
+	stopping *atomic.Bool
 }
 
 func (c *cluster) process(name, program string, args ...string) *process {
@@ -99,15 +101,36 @@
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	assert.NilError(p.t, p.cmd.Start())
 	p.ended = make(chan error, 1)
-	go func(cmd *exec.Cmd, ended chan error) { ended <- cmd.Wait() }(p.cmd, p.ended)
+	p.stopping = new(atomic.Bool)
+	go p.reap(p.cmd, p.ended, p.stopping)
 }
 
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+// reap waits for the process. One that the test didn't end makes the test fail,
+// and is told by the signal or status that ended it.
+func (p *process) reap(cmd *exec.Cmd, ended chan error, stopping *atomic.Bool) {
+	err := cmd.Wait()
+	if !stopping.Load() {
+		p.t.Errorf("%s (process %d) ended by itself: %s", p.name, cmd.Process.Pid, cmd.ProcessState)
+	}
+	ended <- err
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.stopping.Store(true)
+	}
+	err := p.cmd.Process.Signal(s)
+	if err != nil {
+		p.t.Logf("signal %s to %s: %v", s, p.name, err)
+	}
+}
 
 func (p *process) kill() {
 	if p.cmd == nil {
 		return
 	}
+	// Set first: a process that ends between the two signals was ended by the test.
+	p.stopping.Store(true)
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
 	<-p.ended
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -187,8 +187,14 @@
 	}
 	assert.Equal(t, get[service.Counters](t, c.serviceAt[0], "/counters").Executions, before)
 	c.platform.signal(syscall.SIGCONT)
+	var audit operatorapi.AuditReply
+	defer func() {
+		if t.Failed() {
+			t.Logf("last read of the audit trail: %+v, %v", audit, err)
+		}
+	}()
 	c.await("the drain in the audit trail", func() bool {
-		audit, err := operate[operatorapi.AuditReply](c, 1, http.MethodGet, operatorapi.PathAudit, nil)
+		audit, err = operate[operatorapi.AuditReply](c, 1, http.MethodGet, operatorapi.PathAudit, nil)
 		if err != nil {
 			return false
 		}
