Listeners of tests get addresses that nothing else can take; a gateway that can't listen ends whole

The test picked ports by opening and closing a listener, so another test running beside it could take one meanwhile; the gateway then ended with an error that the test didn't look at, but its health check, which listens first, went on answering 503. Not shown: that the port was taken in the run that failed; its log was not kept.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -24,6 +24,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/declaration"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/operatorapi"
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
 )
 
 const (
@@ -170,25 +171,11 @@
 	startWrites uint64
 }
 
-// lastAddress numbers the addresses that were given out.
-var lastAddress atomic.Uint32
-
-// freeAddress returns a loopback address of its own. The kernel picks other
-// ports and addresses for listeners and connections without one, so nothing
-// can take it before the process that it is meant for listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	const perPort = 250
-	n := int(lastAddress.Add(1))
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8&127, pid&255, 1+n%perPort, 7000+n/perPort)
-}
-
 // newCluster starts a deployment and waits until its configuration is in force everywhere.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, client: &http.Client{}}
-	c.store = freeAddress(t)
+	c.store = loopback.Address()
 	c.platform = c.process("platform", "dunlinpulley-standin", "platform", "--listen", c.store, "--hosts-lag", "100ms")
 	c.await("the table service", func() bool { return c.answers(c.store) })
 	for i := range modelCount {
@@ -199,11 +186,11 @@
 	}
 	var peers []string
 	for i := range entryCount {
-		peers = append(peers, fmt.Sprintf("entry-%d=%s", i, freeAddress(t)))
+		peers = append(peers, fmt.Sprintf("entry-%d=%s", i, loopback.Address()))
 	}
 	hash := sha256.Sum256([]byte(operatorToken))
 	for i := range entryCount {
-		caller, admin := freeAddress(t), freeAddress(t)
+		caller, admin := loopback.Address(), loopback.Address()
 		c.callerAt, c.adminAt = append(c.callerAt, caller), append(c.adminAt, admin)
 		_, peer, _ := strings.Cut(peers[i], "=")
 		c.entries = append(c.entries, c.process(fmt.Sprintf("entry-%d", i), "dunlinpulley-entry",
@@ -220,7 +207,7 @@
 }
 
 func (c *cluster) startModel(i int) {
-	engine := freeAddress(c.t)
+	engine := loopback.Address()
 	c.engineAt = append(c.engineAt, engine)
 	c.engines = append(c.engines, c.process(fmt.Sprintf("engine-%d", i), "dunlinpulley-standin", "engine",
 		"--listen", engine, "--name", fmt.Sprintf("engine-%d", i), "--seed", fmt.Sprint(answerSeed), "--step-base", "10ms"))
@@ -228,7 +215,7 @@
 }
 
 func (c *cluster) startService(i int) {
-	service := freeAddress(c.t)
+	service := loopback.Address()
 	c.serviceAt = append(c.serviceAt, service)
 	c.services = append(c.services, c.process(fmt.Sprintf("service-%d", i), "dunlinpulley-standin", "service",
 		"--listen", service, "--name", fmt.Sprintf("tickets-%d", i), "--service-time", "50ms"))
@@ -237,10 +224,10 @@
 
 // startAgent starts an agent behind a relay that can go silent.
 func (c *cluster) startAgent(endpoint, engine, kind string) {
-	listen := freeAddress(c.t)
+	listen := loopback.Address()
 	c.relays = append(c.relays, newRelay(c.t, listen))
 	c.agents = append(c.agents, c.process("agent-"+endpoint, "dunlinpulley-agent", "--endpoint", endpoint,
-		"--data-centre", "dc-1", "--listen", listen, "--agent-admin", freeAddress(c.t), "--engine", engine,
+		"--data-centre", "dc-1", "--listen", listen, "--agent-admin", loopback.Address(), "--engine", engine,
 		"--kind", kind, "--slots", "16", "--store", "http://"+c.store))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,8 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := g.listen(); err != nil {
-		return err
+		// A process that can't take callers must not answer health checks either.
+		return errors.CombineErrors(err, g.closeServers())
 	}
 	go g.source.Run(work, g)
 	go g.sweep(work)
@@ -146,6 +147,10 @@
 	return nil
 }
 
+func (g *Gateway) closeServers() error {
+	return errors.CombineErrors(g.ready.Close(), errors.CombineErrors(g.metrics.Close(), g.caller.Close()))
+}
+
 // stop lets the balancer notice, takes no new connections after that, and waits
 // for the requests in progress.
 func (g *Gateway) stop() error {
