--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,8 +97,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := g.listen(); err != nil {
-		// A process that can't take callers must not answer health checks either.
-		return errors.CombineErrors(err, g.closeServers())
+		return err
 	}
 	go g.source.Run(work, g)
 	go g.sweep(work)
@@ -127,30 +126,49 @@
 	page := chi.NewRouter()
 	page.Handle("/metrics", g.counters.registry.Page)
 	g.metrics = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
-	for _, server := range []struct {
-		address string
-		http    *http.Server
-	}{{g.settings.ReadyListen, g.ready}, {g.settings.MetricsListen, g.metrics}, {g.settings.Listen, g.caller}} {
-		if server.address == "" {
+	return serveAll([]server{
+		{g.settings.ReadyListen, g.ready}, {g.settings.MetricsListen, g.metrics}, {g.settings.Listen, g.caller},
+	})
+}
+
+// server is an HTTP server and its address; empty for one that isn't wanted.
+type server struct {
+	address string
+	http    *http.Server
+}
+
+// serveAll starts all servers or none: a process that can't take callers must
+// not answer health checks either.
+func serveAll(servers []server) error {
+	listeners := make([]net.Listener, len(servers))
+	for i, s := range servers {
+		if s.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp4", server.address)
+		listener, err := net.Listen("tcp4", s.address)
 		if err != nil {
-			return errors.Wrapf(err, "step=listen address=%s", server.address)
+			for _, open := range listeners[:i] {
+				if open != nil {
+					err = errors.CombineErrors(err, open.Close())
+				}
+			}
+			return errors.Wrapf(err, "step=listen address=%s", s.address)
+		}
+		listeners[i] = listener
+	}
+	for i, s := range servers {
+		if listeners[i] == nil {
+			continue
 		}
 		go func() {
-			if err := server.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				klog.ErrorS(err, "server ended", "address", server.address)
+			if err := s.http.Serve(listeners[i]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				klog.ErrorS(err, "server ended", "address", s.address)
 			}
 		}()
 	}
 	return nil
 }
 
-func (g *Gateway) closeServers() error {
-	return errors.CombineErrors(g.ready.Close(), errors.CombineErrors(g.metrics.Close(), g.caller.Close()))
-}
-
 // stop lets the balancer notice, takes no new connections after that, and waits
 // for the requests in progress.
 func (g *Gateway) stop() error {
