Requests go only where their answer is likely to end before the caller gives up

Their engines read without pause: 62 ms a token (a chunk of 4,096 tokens, its attention and the step), so that an answer of over 65 tokens can't end in 5 s. Ruled out: moving the streams to other engines with their memory. 557 long requests a second of 50 tokens need 13 of the 42 engines at 27 ms a token with 60 streams each, and the rest read 484 a second where now 557 are read. Change: engines' gaps between events are learned and told to the peers; a request whose expected answer (callers' estimate, else their declared most, scaled by what answers turned out to be) can't end by its deadline waits, as if the engine were full.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,7 @@
 		c.cause = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error()
 		return attemptBroken, a.silence(), nil
 	}
-	g.heard(a.ticket)
+	g.heard(a.ticket, 0)
 	got := &finished{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		c.cause = "status " + strconv.Itoa(response.StatusCode)
@@ -217,10 +217,10 @@
 	return max(1, int(float64(s.MaxConnections)*connectionShare))
 }
 
-func (g *Gateway) heard(t *placement.Ticket) {
+func (g *Gateway) heard(t *placement.Ticket, events int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Heard(g.now(), t)
+	g.table.Heard(g.now(), t, events)
 }
 
 func (g *Gateway) report(t *placement.Ticket, load placement.Load) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,7 @@
 	first               time.Duration
 	lastEvent           time.Time     // when the last events were forwarded
 	pause               time.Duration // longest time between two forwards
+	events              int           // of a stream that were forwarded
 	lastID              string        // last event forwarded of a stream
 	cause               string        // why the last attempt ended, for the log
 	failure             *finished     // an endpoint's own failure, given if no other attempt does better
@@ -283,6 +284,7 @@
 		"tried", c.tried, "runs", c.runs, "placed_ms", c.placed.Milliseconds(), "score", ticket.Score,
 		"split", ticket.Split, "own_side", ticket.OwnSide, "home", ticket.Home, "demand", ticket.Demand,
 		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
+		"output", c.request.Output, "expected", c.request.Expected, "events", c.events,
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
 
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -20,6 +20,8 @@
 	Key string
 	// Output is the most tokens that the answer may have.
 	Output int
+	// Expected is the tokens that the caller expects; 0 if it doesn't say.
+	Expected int
 	// Parts are the parts of the prompt.
 	Parts []placement.Part
 	// After is the last event that the caller has of a stream that goes on.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,7 +52,6 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			s.attempt.gateway.heard(s.attempt.ticket)
 			if failed := s.take(buffer[:n]); failed != nil {
 				return failed
 			}
@@ -69,6 +68,9 @@
 // take forwards the whole events among the bytes that have arrived.
 func (s *eventStream) take(data []byte) error {
 	s.pending = append(s.pending, data...)
+	events := bytes.Count(s.pending, eventEnd)
+	s.attempt.gateway.heard(s.attempt.ticket, events)
+	s.attempt.call.events += events
 	end := bytes.LastIndex(s.pending, eventEnd)
 	if end < 0 {
 		if len(s.pending) > maxEventBytes {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -33,8 +33,8 @@
 // Without a ticket it returns the reason.
 func (g *Gateway) place(ctx context.Context, c *call, service string) (*placement.Ticket, string) {
 	query := placement.Query{
-		Service: service, Rank: c.rank, Parts: c.request.Parts, Output: c.request.Output,
-		Target: c.route.Target, Exclude: c.tried,
+		Service: service, Rank: c.rank, Parts: c.request.Parts, Output: c.request.Output, Expected: c.request.Expected,
+		Target: c.route.Target, Deadline: g.instant(c.deadline), Exclude: c.tried,
 	}
 	g.mu.Lock()
 	now := g.now()
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -150,6 +150,7 @@
 		d.LongUnread = append(d.LongUnread, uint32(max(l.Long, 0)))
 		d.Memory = append(d.Memory, uint32(max(l.Memory, 0)))
 		d.Given = append(d.Given, uint32(max(l.Given, 0)))
+		d.Gap = append(d.Gap, uint32(max(l.Gap.Milliseconds(), 0)))
 	}
 	for _, r := range digest.Readings {
 		d.Service = append(d.Service, r.Service)
@@ -212,7 +213,7 @@
 // decode reports false for lists that don't fit together.
 func decode(d *pb.Digest) (placement.PeerDigest, bool) {
 	n := len(d.Endpoint)
-	for _, list := range [][]uint32{d.InFlight, d.Decoding, d.Unread, d.LongUnread, d.Memory, d.Given} {
+	for _, list := range [][]uint32{d.InFlight, d.Decoding, d.Unread, d.LongUnread, d.Memory, d.Given, d.Gap} {
 		if len(list) != n {
 			return placement.PeerDigest{}, false
 		}
@@ -230,6 +231,7 @@
 			Long:     int(d.LongUnread[i]),
 			Memory:   int(d.Memory[i]),
 			Given:    int(d.Given[i]),
+			Gap:      time.Duration(d.Gap[i]) * time.Millisecond,
 		})
 	}
 	for i := range d.Service {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -49,6 +49,9 @@
 	own   work // requests of this process in progress
 	peers work // those of the peers, as they last told
 	given rate // prompt tokens that this process gives it to read
+	gaps  gaps // of the streams of this process
+
+	peerGaps peerGaps
 
 	reported         Load
 	reportedAt       domain.Instant
@@ -98,6 +101,7 @@
 	split     split
 	memory    int // of one engine in tokens; 0 if not known
 	pace      pace
+	answers   answers
 	reading   rate
 }
 
@@ -135,6 +139,7 @@
 		for _, l := range digest.Loads {
 			if l.Endpoint == s.hash() {
 				s.peers.add(l.work(), 1)
+				s.peerGaps.add(l.Gap, 1)
 			}
 		}
 	}
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -42,10 +42,16 @@
 	silencePause = 1500 * time.Millisecond
 )
 
-// Heard notes that bytes came from the endpoint. The first ones of a request
-// mean that its prompt has been read.
-func (t *Table) Heard(now domain.Instant, k *Ticket) {
+// Heard notes that bytes came from the endpoint, with a number of whole events
+// of a stream. The first bytes of a request mean that its prompt has been read.
+func (t *Table) Heard(now domain.Instant, k *Ticket, events int) {
 	k.state.heard = now
+	if events > 0 {
+		if k.events > 0 {
+			k.state.gaps.learn(now, now.Sub(k.last), events)
+		}
+		k.events, k.last = k.events+events, now
+	}
 	if !k.first {
 		k.first = true
 		if k.work.long > 0 {
@@ -76,6 +82,9 @@
 	failed := 0.0
 	switch result {
 	case ResultServed:
+		if k.events > 0 && k.expected > 0 {
+			t.service(k.Endpoint.Service).answers.learn(k.expected, k.events)
+		}
 	case ResultRefused:
 		s.avoid = max(s.avoid, now.Add(refusedPause))
 		return
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,6 +21,9 @@
 	Memory   int
 	// Given is the prompt tokens a second that the process gives it to read.
 	Given int
+	// Gap is the mean time between two events of the process's streams there;
+	// 0 if it had none lately.
+	Gap time.Duration
 }
 
 // PeerReading is what one process's callers ask the engines of a service to read.
@@ -47,12 +51,13 @@
 	var d PeerDigest
 	for _, s := range t.byID {
 		given := int(s.given.value(now))
-		if s.own == (work{}) && given == 0 {
+		gap := s.gaps.known(now)
+		if s.own == (work{}) && given == 0 && gap == 0 {
 			continue
 		}
 		d.Loads = append(d.Loads, PeerLoad{
 			Endpoint: s.hash(), InFlight: s.own.inFlight, Decoding: s.own.decoding,
-			Unread: s.own.unread, Long: s.own.long, Memory: s.own.memory, Given: given,
+			Unread: s.own.unread, Long: s.own.long, Memory: s.own.memory, Given: given, Gap: gap,
 		})
 	}
 	slices.SortFunc(d.Loads, func(a, b PeerLoad) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
@@ -83,6 +88,7 @@
 	for _, l := range loads {
 		if s := t.byHash[l.Endpoint]; s != nil {
 			s.peers.add(l.work(), sign)
+			s.peerGaps.add(l.Gap, sign)
 		}
 	}
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -16,8 +16,12 @@
 	Parts []Part
 	// Output is the most tokens that the request may make.
 	Output int
+	// Expected is the tokens that it is likely to make; 0 if the caller doesn't say.
+	Expected int
 	// Target is the time to the first event within which the answer is useful; 0 if none.
 	Target time.Duration
+	// Deadline is when the whole answer has to be there; 0 if the caller waits for ever.
+	Deadline domain.Instant
 	// Exclude are endpoints that have had the request.
 	Exclude []string
 }
@@ -42,11 +46,14 @@
 	// Unread is the prompt tokens that the endpoint was expected to read for the request.
 	Unread int
 
-	state *state
-	work  work
-	at    domain.Instant
-	first bool
-	ended bool
+	state    *state
+	work     work
+	expected int // tokens of the answer
+	at       domain.Instant
+	first    bool
+	ended    bool
+	events   int            // of the stream so far
+	last     domain.Instant // when the last of them came
 }
 
 const (
@@ -134,7 +141,7 @@
 			home:    homes.number(s),
 			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
 		}
-		if !s.admits(now, of, q, p) {
+		if !s.admits(now, of, q, p) || !s.finishes(now, of, q, p) {
 			continue
 		}
 		p.score = t.engineScore(now, of, s, q, p)
@@ -156,7 +163,7 @@
 	best.given.add(now, chosen.unread)
 	return t.place(now, best, w, Ticket{
 		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
-		Home: chosen.home, Demand: best.demand(now),
+		Home: chosen.home, Demand: best.demand(now), expected: q.expected(),
 	})
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -99,7 +99,7 @@
 	for range 5 {
 		assert.Assert(t, table.Pick(now, plain()).Endpoint.ID != silent)
 	}
-	table.Heard(now, first)
+	table.Heard(now, first, 1)
 	assert.Equal(t, table.Pick(now, plain()).Endpoint.ID, silent)
 }
 
@@ -200,7 +200,7 @@
 			if ticket := table.Pick(now, longQuery(7)); ticket != nil {
 				given[ticket.Endpoint.ID] += float64(ticket.Unread)
 				// The engine reads at once, so that nothing but the meter holds it back.
-				table.Heard(now.Add(time.Millisecond), ticket)
+				table.Heard(now.Add(time.Millisecond), ticket, 1)
 				table.End(now.Add(time.Millisecond), ticket, ResultServed)
 			}
 		}
@@ -273,7 +273,7 @@
 				}
 			case 3:
 				if len(open) > 0 {
-					table.Heard(now, open[rapid.IntRange(0, len(open)-1).Draw(t, "heard")])
+					table.Heard(now, open[rapid.IntRange(0, len(open)-1).Draw(t, "heard")], 1)
 				}
 			case 4:
 				if len(open) > 0 {
@@ -325,7 +325,7 @@
 			for i := range b.N {
 				now = now.Add(10 * time.Millisecond)
 				if ticket := table.Pick(now, longQuery(uint64(i%1000))); ticket != nil {
-					table.Heard(now, ticket)
+					table.Heard(now, ticket, 1)
 					table.End(now, ticket, ResultServed)
 				}
 			}
--- a/internal/replay/world_test.go
+++ b/internal/replay/world_test.go
@@ -204,7 +204,7 @@
 		return
 	}
 	g := w.gateways[q.gateway]
-	g.table.Heard(domain.Instant(at)+1, q.ticket)
+	g.table.Heard(domain.Instant(at)+1, q.ticket, 1)
 	if q.first == 0 {
 		q.first = at
 	} else {
