An answer must be likely to end only where the engine's time is scarce

Change: the expected answer is at most the declared one; the test applies from 0.45 of an engine's time taken by long prompts; gaps are averaged over 2 s.

--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -60,7 +60,7 @@
 	if isLong(q) && (s.streams() >= sparedStreams || p.leaving && s.streams() > 0) {
 		return false
 	}
-	if isLong(q) && s.given.value(now)+float64(s.peers.given) > dutyShare*of.pace.tokens()*1000 {
+	if isLong(q) && s.duty(now, of) > dutyShare {
 		return false
 	}
 	switch {
@@ -79,6 +79,11 @@
 	}
 }
 
+// duty is the share of an engine's time that the prompts take that it was given lately.
+func (s *state) duty(now domain.Instant, of *service) float64 {
+	return (s.given.value(now) + float64(s.peers.given)) / (of.pace.tokens() * 1000)
+}
+
 // ahead estimates the prompt tokens that an engine reads before a request's.
 func (s *state) ahead(q Query) float64 {
 	if isLong(q) {
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -14,12 +14,15 @@
 
 const (
 	// gapTime is the time over which the gaps between events are averaged.
-	gapTime = 500 * time.Millisecond
+	gapTime = 2 * time.Second
 	// gapLife is how long gaps tell of an engine: about the length of an answer.
-	gapLife = 1500 * time.Millisecond
+	gapLife = 3 * time.Second
+	// scarceShare is the share of an engine's time that long prompts take from
+	// which on a request that doesn't end takes the place of one that would.
+	scarceShare = 0.45
 	// endMargin is the share by which an answer may take longer than estimated:
 	// callers know the length of their answers only roughly.
-	endMargin = 1.2
+	endMargin = 1.0
 	// answerWeight is the weight of one answer in the averages over answers.
 	answerWeight = 0.02
 )
@@ -93,17 +96,21 @@
 // expected is the tokens that a request is likely to make. Where callers declare
 // only a most, the answers that ended tell how much of it is used.
 func (q Query) expected() int {
-	if q.Expected > 0 {
+	switch {
+	case q.Expected <= 0:
+		return q.Output
+	case q.Output <= 0:
 		return q.Expected
+	default:
+		return min(q.Expected, q.Output)
 	}
-	return q.Output
 }
 
 // finishes reports whether an engine can end a request before its caller gives
 // up. What isn't known yet doesn't speak against it.
 func (s *state) finishes(now domain.Instant, of *service, q Query, p position) bool {
 	gap := s.gap(now)
-	if q.Deadline == 0 || of.answers.events == 0 || gap == 0 {
+	if q.Deadline == 0 || of.answers.events == 0 || gap == 0 || s.duty(now, of) < scarceShare {
 		return true
 	}
 	reading := (s.ahead(q) + p.unread) / of.pace.tokens() * float64(time.Millisecond)
