--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -283,7 +284,8 @@
 	klog.InfoS("request", "request", c.request.ID, "outcome", outcome, "route", c.route.Name, "rank", c.rank, "account", account,
 		"tried", c.tried, "runs", c.runs, "placed_ms", c.placed.Milliseconds(), "score", ticket.Score,
 		"split", ticket.Split, "own_side", ticket.OwnSide, "home", ticket.Home, "demand", ticket.Demand,
-		"backlog", ticket.Backlog, "unread", ticket.Unread, "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
+		"backlog", ticket.Backlog, "unread", ticket.Unread,
+		"pace", math.Round(ticket.Pace), "duty", math.Round(ticket.Duty*100)/100, "gap_ms", ticket.Gap.Milliseconds(), "first_ms", c.first.Milliseconds(), "pause_ms", c.pause.Milliseconds(),
 		"output", c.request.Output, "expected", c.request.Expected, "events", c.events,
 		"took_ms", time.Since(c.arrived).Milliseconds(), "cause", c.cause, "config", strconv.FormatInt(c.config.Version, 10))
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -45,6 +45,12 @@
 	Backlog int
 	// Unread is the prompt tokens that the endpoint was expected to read for the request.
 	Unread int
+	// Pace is the prompt tokens that the endpoint was expected to read in a millisecond.
+	Pace float64
+	// Duty is the share of its time that long prompts took.
+	Duty float64
+	// Gap is the time between two events of its streams; 0 if not known.
+	Gap time.Duration
 
 	state    *state
 	work     work
@@ -163,7 +169,8 @@
 	best.given.add(now, chosen.unread)
 	return t.place(now, best, w, Ticket{
 		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
-		Home: chosen.home, Demand: best.demand(now), expected: q.expected(),
+		Home: chosen.home, Demand: best.demand(now),
+		Pace: of.pace.tokens(), Duty: best.duty(now, of), Gap: best.gap(now), expected: q.expected(),
 	})
 }
 
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -22,7 +22,7 @@
 	decodeRatio = 20
 	// packShare is the share of an endpoint's slots that long outputs may fill.
 	// Their steps stay far below what a caller notices as a pause.
-	packShare = 0.6
+	packShare = 0.85
 	// readShare is the share of an engine's time that prompts may take.
 	readShare = 0.7
 	// maxDecodeShare and minDecodeShare bound the endpoints that are set aside.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -45,6 +45,35 @@
 	atLeast(t, "long not wasted", 1-wasted, 0.9)
 }
 
+// A load that keeps the engines reading for long: what is sent there ends, and
+// isn't read for callers that have left by then.
+func TestReadingIsNotWastedInOverload(t *testing.T) {
+	w := newWorld(8, gateways, engines)
+	w.play(20*time.Second, long(steady(180)), short(steady(49)), notes(steady(16)))
+	w.drain()
+	sent, wasted := 0, 0
+	for _, q := range w.requests {
+		if q.kind == "long" && q.ticket != nil {
+			sent++
+			if !q.done {
+				wasted++
+			}
+		}
+	}
+	atLeast(t, "of what was sent, ended", 1-float64(wasted)/float64(sent), 0.95)
+}
+
+// A jump of long outputs beside many long prompts: engines that make tokens are
+// filled, so that the others are left to read.
+func TestLongOutputsLeaveEnginesToRead(t *testing.T) {
+	w := newWorld(9, gateways, engines)
+	w.play(15*time.Second, long(steady(130)), short(steady(49)), notes(burst(16, 3, 4*time.Second, 12*time.Second)))
+	w.drain()
+	served := func(q *request) bool { return q.done }
+	atLeast(t, "long served", w.share("long", 0, time.Hour, served), 0.8)
+	atLeast(t, "notes in time", w.share("notes", 0, time.Hour, (*request).inTime), 0.9)
+}
+
 // Sessions keep their engines in a burst: their shared parts aren't read again.
 func TestSessionsStayHome(t *testing.T) {
 	w := newWorld(3, gateways, engines)
--- a/internal/replay/world_test.go
+++ b/internal/replay/world_test.go
@@ -16,14 +16,21 @@
 	tick         = 5 * time.Millisecond
 	digestEvery  = 100 * time.Millisecond
 	modelService = "desk"
-	// hold is how long a request may wait at a gateway, of its target.
-	hold = 0.7
+	// holdShare and returnedHoldShare are how long a request may wait at a
+	// gateway, of the time that its caller has left; inTimeShare is the share of
+	// the target by which it should have been placed. They are the gateway's.
+	holdShare, returnedHoldShare, inTimeShare = 0.25, 0.1, 0.7
+	// retryAfter is when a caller that was turned away is told to return.
+	retryAfter = 400 * time.Millisecond
+	// maxTries is how often a caller asks.
+	maxTries = 2
 )
 
 // stream is a kind of request and how many come in a second.
 type stream struct {
 	name     string
 	rank     int
+	system   int // tokens of a part that a quarter of the sessions share
 	shared   int // tokens of the session's part
 	sessions int
 	own      int // mean tokens of the request's own part
@@ -50,21 +57,21 @@
 
 func long(rate func(time.Duration) float64) stream {
 	return stream{
-		name: "long", rank: 2, shared: 6300, sessions: 260, own: 2890, output: 52,
+		name: "long", rank: 2, system: 2520, shared: 3780, sessions: 260, own: 2890, output: 52,
 		target: 1200 * time.Millisecond, gap: 800 * time.Millisecond, limit: 5 * time.Second, rate: rate,
 	}
 }
 
 func short(rate func(time.Duration) float64) stream {
 	return stream{
-		name: "short", rank: 1, shared: 568, sessions: 320, own: 1800, output: 24,
+		name: "short", rank: 1, system: 341, shared: 227, sessions: 320, own: 1800, output: 24,
 		target: 500 * time.Millisecond, gap: 300 * time.Millisecond, limit: 3 * time.Second, rate: rate,
 	}
 }
 
 func notes(rate func(time.Duration) float64) stream {
 	return stream{
-		name: "notes", rank: 0, shared: 172, sessions: 155, own: 543, output: 280,
+		name: "notes", rank: 0, system: 103, shared: 69, sessions: 155, own: 543, output: 280,
 		target: 300 * time.Millisecond, gap: 200 * time.Millisecond, limit: 15 * time.Second, rate: rate,
 	}
 }
@@ -90,7 +97,7 @@
 	w := &world{random: rand.New(rand.NewPCG(seed, seed)), parts: 1 << 40}
 	known := make(map[uint64]bool)
 	for i := range engines {
-		w.engines = append(w.engines, &engine{id: fmt.Sprintf("engine-%02d", i), cached: make(map[uint64]bool), known: known})
+		w.engines = append(w.engines, &engine{id: fmt.Sprintf("engine-%02d", i), parts: make(map[uint64]*kept), known: known})
 	}
 	for range gateways {
 		g := &gatewayModel{
@@ -139,13 +146,28 @@
 			q := g.waiter[done]
 			delete(g.waiter, done)
 			if done.Ticket == nil {
-				q.refuse = true
+				w.turnedAway(q)
 				continue
 			}
 			w.send(q, done.Ticket)
 		}
 	}
 	w.giveUp()
+	for _, q := range w.requests {
+		if q.back > 0 && w.now >= q.back {
+			q.back = 0
+			q.gateway = w.random.IntN(len(w.gateways))
+			w.offer(q)
+		}
+	}
+}
+
+// turnedAway lets a caller return once, after the time that it is told or a
+// third of what it has left.
+func (w *world) turnedAway(q *request) {
+	if q.tries < maxTries {
+		q.back = w.now + min(retryAfter, (q.arrived+q.limit-w.now)/3)
+	}
 }
 
 // giveUp ends the tickets of callers that have left.
@@ -170,24 +192,44 @@
 }
 
 func (w *world) arrive(s stream) {
-	session := uint64(w.random.IntN(s.sessions)) + uint64(len(s.name))<<20
+	number := w.random.IntN(s.sessions)
+	session := uint64(number) + uint64(len(s.name))<<20
+	system := uint64(number%4) + uint64(len(s.name))<<30
 	w.parts++
+	output := max(1, w.spread(s.output))
 	q := &request{
-		kind: s.name, gateway: w.random.IntN(len(w.gateways)), arrived: w.now, gap: s.gap, limit: s.limit,
+		kind: s.name, gateway: w.random.IntN(len(w.gateways)), arrived: w.now, gap: s.gap, limit: s.limit, output: output,
 		query: placement.Query{
-			Service: modelService, Rank: s.rank, Target: s.target, Output: max(1, w.spread(s.output)),
-			Parts: []placement.Part{{ID: session, Tokens: s.shared}, {ID: w.parts, Tokens: max(1, w.spread(s.own))}},
+			Service: modelService, Rank: s.rank, Target: s.target, Output: maxSpread * s.output, Expected: w.estimate(output),
+			Deadline: w.instant().Add(s.limit),
+			Parts: []placement.Part{
+				{ID: system, Tokens: s.system}, {ID: session, Tokens: s.shared}, {ID: w.parts, Tokens: max(1, w.spread(s.own))},
+			},
 		},
 	}
 	w.requests = append(w.requests, q)
+	w.offer(q)
+}
+
+// offer hands a request to its gateway.
+func (w *world) offer(q *request) {
+	q.tries++
 	g := w.gateways[q.gateway]
 	g.table.Asked(w.instant(), q.query)
 	if t := g.table.Pick(w.instant(), q.query); t != nil {
 		w.send(q, t)
 		return
 	}
-	until := w.instant().Add(time.Duration(float64(s.target) * hold))
-	waiter := &waitqueue.Waiter{Query: q.query, Arrived: w.instant(), InTime: until, Until: until}
+	share := holdShare
+	if q.tries > 1 {
+		share = returnedHoldShare
+	}
+	limit := domain.Instant(q.arrived + q.limit)
+	waiter := &waitqueue.Waiter{
+		Query: q.query, Arrived: w.instant(),
+		InTime: domain.Instant(q.arrived + time.Duration(float64(q.query.Target)*inTimeShare)),
+		Until:  w.instant().Add(time.Duration(float64(limit.Sub(w.instant())) * share)),
+	}
 	g.waiter[waiter] = q
 	g.queue.Add(waiter)
 }
@@ -217,9 +259,22 @@
 	}
 }
 
-// spread draws from an exponential around a mean, at most four times the mean.
+const (
+	// maxSpread is the most that spread draws, in means.
+	maxSpread = 4
+	// estimateSpread is how far callers' estimates of their answers are off, as
+	// the deviation of the logarithm.
+	estimateSpread = 0.5
+)
+
+// spread draws from an exponential around a mean.
 func (w *world) spread(mean int) int {
-	return int(min(w.random.ExpFloat64(), 4) * float64(mean))
+	return int(min(w.random.ExpFloat64(), maxSpread) * float64(mean))
+}
+
+// estimate is what a caller expects of an answer: right at the median.
+func (w *world) estimate(output int) int {
+	return max(1, int(float64(output)*math.Exp(estimateSpread*w.random.NormFloat64())))
 }
 
 func (w *world) poisson(mean float64) int {
