Second homes take long prompts only while they have time to spare

Change: a busy first home is no reason to read at a second one that spends over 0.3 of its time on long prompts.

--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -37,6 +37,10 @@
 	// An engine that reads all the time makes a token of each of its answers
 	// only once a chunk, and most answers then end after their callers have left.
 	dutyShare = 0.75
+	// spillShare is the share of its time from which on an engine takes no
+	// sessions of a first home that is busy: it would read their shared parts
+	// again, and they would take the place of what it keeps of its own.
+	spillShare = 0.3
 	// plainQueueShare is the share of a plain service's slots that may be
 	// taken by waiting requests: at most two rounds wait.
 	plainQueueShare = 3.0
@@ -63,6 +67,9 @@
 	if isLong(q) && s.duty(now, of) > dutyShare {
 		return false
 	}
+	if p.spill && s.duty(now, of) > spillShare {
+		return false
+	}
 	switch {
 	case !p.ownSide && decodeHeavy(q):
 		return s.backlog() <= chunkTokens
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -145,6 +145,7 @@
 			ownSide: size == 0 || slices.Contains(side, s),
 			leaving: slices.Contains(open[size:max(size, of.split.recent)], s),
 			home:    homes.number(s),
+			spill:   isLong(q) && homes.number(s) == 2 && slices.Contains(usable, homes.first),
 			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
 		}
 		if !s.admits(now, of, q, p) || !s.finishes(now, of, q, p) {
@@ -179,6 +180,7 @@
 	ownSide bool
 	leaving bool    // it has just left the side of long outputs
 	home    int     // 1 or 2 for a home of the request's session, else 0
+	spill   bool    // the second home of a long prompt whose first one could be used
 	unread  float64 // prompt tokens that it is expected to read
 	score   float64
 }
