The settings file is followed; a configuration's limits on heads and idle connections hold

Cause: SIGHUP and changed settings were ignored, and the limits of heads and of idle time were constants, whatever the configuration said. Callers' connections that are idle, or take long over a head, are closed by the limits in force, 5 s late, as a request may be on its way; heads over the limit get 431. The server's own limits are only an upper bound now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -62,6 +63,9 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+		g.callers.busy(conn)
+	}
 	c := &call{writer: w, http: r, arrived: time.Now(), request: g.dialect.ReadRequest(r)}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -96,6 +100,9 @@
 			return g.reject(c, http.StatusUnauthorized, "key not known")
 		}
 	}
+	if limit := c.config.Limits.HeaderBytes; limit > 0 && headBytes(c.http) > limit {
+		return g.reject(c, http.StatusRequestHeaderFieldsTooLarge, "head too large")
+	}
 	c.rank = c.config.Rank(c.route, c.account)
 	g.setDeadline(c)
 	return g.readBody(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,11 +24,10 @@
 )
 
 const (
-	// headerTimeout is the longest time that a caller may take to send a head.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. Declared
-	// limits are 15 s; a longer time never closes one too early.
-	idleTimeout = 60 * time.Second
+	// headerTimeout and idleTimeout bound callers' connections where a
+	// configuration sets no limit, or a higher one.
+	headerTimeout = time.Minute
+	idleTimeout   = 10 * time.Minute
 	// maxHeaderBytes is above what configurations allow, so that it never
 	// refuses a proper request.
 	maxHeaderBytes = 64 << 10
@@ -66,6 +65,8 @@
 	queue    waitqueue.Queue
 	waiters  map[*waitqueue.Waiter]*waiting
 
+	callers *callerConns
+
 	caller, ready, metrics *http.Server
 }
 
@@ -84,6 +85,7 @@
 		leaving:  make(map[string]domain.Instant),
 		waiters:  make(map[*waitqueue.Waiter]*waiting),
 		patience: make(map[string]time.Duration),
+		callers:  newCallerConns(),
 	}
 	g.peers = peers.NewExchange(s.PeerAddress, s.PeerSeeds, g)
 	return g
@@ -113,6 +115,12 @@
 	return g.stop()
 }
 
+// Reload takes what may change of the settings while the gateway runs.
+func (g *Gateway) Reload(s Settings) { g.peers.SetSeeds(s.PeerSeeds) }
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 func (g *Gateway) listen() error {
 	readiness := chi.NewRouter()
 	readiness.Get(g.settings.ReadyPath, g.answerReady)
@@ -122,6 +130,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.callers.changed,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	page := chi.NewRouter()
 	page.Handle("/metrics", g.counters.registry.Page)
@@ -210,6 +222,7 @@
 		case <-ticker.C:
 		}
 		g.removeLeft()
+		g.closeOverdue()
 		age, _ := g.validity.Age(bootclock.Now())
 		g.sample(age)
 		g.pool.Sweep(g.keepConnections)
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -55,17 +55,28 @@
 
 // NewExchange returns an exchange at an address. All peers use its port.
 func NewExchange(address netip.AddrPort, seeds []netip.AddrPort, board Board) *Exchange {
-	hosts := make([]netip.Addr, 0, len(seeds))
-	for _, seed := range seeds {
-		hosts = append(hosts, seed.Addr())
-	}
 	return &Exchange{
 		address:     address,
 		board:       board,
 		incarnation: uint64(time.Now().UnixMicro()),
 		started:     time.Now(),
-		members:     NewMembers(address.Addr(), hosts),
+		members:     NewMembers(address.Addr(), hosts(seeds)),
+	}
+}
+
+func hosts(addresses []netip.AddrPort) []netip.Addr {
+	list := make([]netip.Addr, 0, len(addresses))
+	for _, address := range addresses {
+		list = append(list, address.Addr())
 	}
+	return list
+}
+
+// SetSeeds replaces the peers that are always told.
+func (e *Exchange) SetSeeds(seeds []netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members.SetSeeds(hosts(seeds))
 }
 
 // Run exchanges digests until the context ends.
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -46,8 +46,14 @@
 
 // NewMembers returns the set of a process that knows only its seeds.
 func NewMembers(self netip.Addr, seeds []netip.Addr) *Members {
-	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.Addr) bool { return a == self })
-	return &Members{self: self, seeds: seeds, members: make(map[netip.Addr]*member)}
+	m := &Members{self: self, members: make(map[netip.Addr]*member)}
+	m.SetSeeds(seeds)
+	return m
+}
+
+// SetSeeds replaces the seeds. Peers that were heard of stay.
+func (m *Members) SetSeeds(seeds []netip.Addr) {
+	m.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.Addr) bool { return a == m.self })
 }
 
 // Heard takes a digest's origin and the peers that it names. It reports whether
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -72,6 +72,14 @@
 	b.t.Errorf("a digest of %s was taken", peer)
 }
 
+func TestSeedsCanChange(t *testing.T) {
+	m := NewMembers(host(1), []netip.Addr{host(1), host(2)})
+	assert.DeepEqual(t, m.Targets(), []netip.Addr{host(2)}, cmpAddresses())
+	m.Heard(at(0), host(4), 1, 1, nil)
+	m.SetSeeds([]netip.Addr{host(3), host(1)})
+	assert.DeepEqual(t, m.Targets(), []netip.Addr{host(3), host(4)}, cmpAddresses())
+}
+
 func TestDamagedDatagrams(t *testing.T) {
 	e := NewExchange(netip.AddrPortFrom(host(1), 7000), nil, noBoard{t})
 	e.take(host(2), []byte{0xff, 0xff, 0xff})
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -58,16 +58,7 @@
 	if s.demand(now) >= s.slots() {
 		return false
 	}
-	if of.memory > 0 && float64(s.memoryInUse()+q.memory()) > memoryLimit*float64(of.memory) && s.memoryInUse() > 0 {
-		return false
-	}
-	if isLong(q) && (s.streams() >= sparedStreams || p.leaving && s.streams() > 0) {
-		return false
-	}
-	if isLong(q) && s.duty(now, of) > dutyShare {
-		return false
-	}
-	if p.spill && s.duty(now, of) > spillShare {
+	if !s.hasMemory(of, q) || isLong(q) && !s.admitsLong(now, of, p) {
 		return false
 	}
 	switch {
@@ -86,6 +77,28 @@
 	}
 }
 
+// hasMemory reports whether an engine has memory for a request; one without
+// others takes any.
+func (s *state) hasMemory(of *service, q Query) bool {
+	if of.memory <= 0 || s.memoryInUse() == 0 {
+		return true
+	}
+	return float64(s.memoryInUse()+q.memory()) <= memoryLimit*float64(of.memory)
+}
+
+// admitsLong reports whether an engine can read a long prompt without harm to
+// what runs there and to the sessions that belong there.
+func (s *state) admitsLong(now domain.Instant, of *service, p position) bool {
+	if s.streams() >= sparedStreams || p.leaving && s.streams() > 0 {
+		return false
+	}
+	most := dutyShare
+	if p.spill {
+		most = spillShare
+	}
+	return s.duty(now, of) <= most
+}
+
 // duty is the share of an engine's time that the prompts take that it was given lately.
 func (s *state) duty(now domain.Instant, of *service) float64 {
 	return (s.given.value(now) + float64(s.peers.given)) / (of.pace.tokens() * 1000)
