The soak harms the paths between gateways, store and replicas; its gateways hear each other

Cause: the soak's faults were those of processes, store and replicas; nothing delayed, reset, cut one way or silenced a connection. Its gateways had one host address with a port each, so that none heard another. Change: the relay of the end-to-end tests moves to internal/standin/relay, with delays, resets, one direction dropped and darkness beside silence, and stands before the store and each replica; each gateway has a loopback host of its own and the others as seeds. Ports come from internal/standin/loopback.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -25,6 +25,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/operatorapi"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/relay"
 )
 
 const (
@@ -164,7 +165,7 @@
 	entries    []*process
 	callerAt   []string
 	adminAt    []string
-	relays     []*relay // before each agent
+	relays     []*relay.Relay // before each agent
 	client     *http.Client
 	nextChange int
 	// startWrites is the number of rows that the first configuration wrote.
@@ -225,7 +226,10 @@
 // startAgent starts an agent behind a relay that can go silent.
 func (c *cluster) startAgent(endpoint, engine, kind string) {
 	listen := loopback.Address()
-	c.relays = append(c.relays, newRelay(c.t, listen))
+	r, err := relay.Start(loopback.Address(), listen)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(r.Close)
+	c.relays = append(c.relays, r)
 	c.agents = append(c.agents, c.process("agent-"+endpoint, "dunlinpulley-agent", "--endpoint", endpoint,
 		"--data-centre", "dc-1", "--listen", listen, "--agent-admin", loopback.Address(), "--engine", engine,
 		"--kind", kind, "--slots", "16", "--store", "http://"+c.store))
@@ -256,7 +260,7 @@
 			state = first
 		}
 		fmt.Fprintf(&b, "---\nkind: endpoint\nname: %s\nservice: %s\ndata-centre: dc-1\nagent-address: %s\n"+
-			"checks-fencing: true\ndesired: %s\n%s", endpointName(i), service, r.address(), state, models)
+			"checks-fencing: true\ndesired: %s\n%s", endpointName(i), service, r.Address(), state, models)
 	}
 	for _, p := range peers {
 		name, address, _ := strings.Cut(p, "=")
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -147,8 +147,8 @@
 	c := newCluster(t)
 	wait := c.askInBackground("silent", 40)
 	c.await("answers in progress", func() bool { return c.running() >= 20 })
-	c.relays[0].silence()
-	c.relays[1].silence()
+	c.relays[0].Silence()
+	c.relays[1].Silence()
 	c.checkComplete(wait())
 	c.checkComplete(c.askMany("after the silence", 20))
 }
@@ -162,8 +162,8 @@
 	for i := range results {
 		wg.Go(func() { results[i] = c.issue(i%entryCount, fmt.Sprintf("silent-%d", i), "") })
 	}
-	c.relays[modelCount].silence()
-	c.relays[modelCount+1].silence()
+	c.relays[modelCount].Silence()
+	c.relays[modelCount+1].Silence()
 	wg.Wait()
 	for i, r := range results {
 		c.checkOrder(fmt.Sprintf("silent-%d", i), r)
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,7 +19,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/relay"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 	"github.com/dunlinpulley/dunlinpulley/platform/settings"
 )
@@ -35,8 +38,10 @@
 	program  string
 	store    *metastore.Store
 	server   *httptest.Server
+	paths    []*relay.Relay // to the store, then to each replica
 	replicas []*replica.Replica
 	gateways []*process
+	hosts    []string // one for each gateway, so that they can share a port
 	version  int
 
 	mu      sync.Mutex
@@ -48,6 +53,7 @@
 // process is a gateway process. Only processes in this table are ever signalled.
 type process struct {
 	settings string
+	host     string // where it hears its peers
 	front    string
 	ready    string
 	cmd      *exec.Cmd
@@ -84,14 +90,21 @@
 	c := &cluster{t: t, program: program, store: metastore.New(), revoked: make(map[string]time.Time)}
 	c.server = httptest.NewServer(c.store)
 	t.Cleanup(c.server.Close)
+	c.relay(strings.TrimPrefix(c.server.URL, "http://"))
 	for i := range replicas {
 		r, err := replica.Start(fmt.Sprintf("i-%d", i))
 		assert.NilError(t, err)
 		t.Cleanup(r.Stop)
 		c.replicas = append(c.replicas, r)
+		c.relay(r.Address())
 		c.register(r, "ready")
 	}
 	c.configure(callKey)
+	for range gateways {
+		host, _, err := net.SplitHostPort(loopback.Address())
+		assert.NilError(t, err)
+		c.hosts = append(c.hosts, host)
+	}
 	for i := range gateways {
 		g := c.newProcess(i)
 		c.gateways = append(c.gateways, g)
@@ -114,25 +127,22 @@
 	c.log = append(c.log, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// relay puts a path that can be harmed before an address.
+func (c *cluster) relay(target string) {
+	r, err := relay.Start(loopback.Address(), target)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(r.Close)
+	c.paths = append(c.paths, r)
 }
 
 func (c *cluster) newProcess(i int) *process {
-	g := &process{
-		front: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
-		ready: fmt.Sprintf("127.0.0.1:%d", freePort(c.t)),
-	}
-	peer := freePort(c.t)
+	g := &process{front: loopback.Address(), ready: loopback.Address(), host: c.hosts[i]}
 	file := map[string]any{
-		"node_name": fmt.Sprintf("gateway-%d", i), "ip": "127.0.0.1", "zone": "a",
-		"listen": map[string]string{"front": g.front, "ready": g.ready}, "internal_ports": []int{peer, peer},
+		"node_name": fmt.Sprintf("gateway-%d", i), "ip": g.host, "zone": "a",
+		"listen": map[string]string{"front": g.front, "ready": g.ready}, "internal_ports": []int{peerPort, peerPort}, "seeds": c.seeds(),
 		"limits":   map[string]any{"memory_mb": 128},
 		"bounds":   map[string]any{"grace_s": 5, "revoke_ms": 5000, "strict_revoke": true, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 80},
-		"provider": map[string]any{"address": strings.TrimPrefix(c.server.URL, "http://")},
+		"provider": map[string]any{"address": c.paths[0].Address()},
 	}
 	data, err := json.Marshal(file)
 	assert.NilError(c.t, err)
@@ -141,6 +151,17 @@
 	return g
 }
 
+// peerPort is the port at which gateways hear each other, below the kernel's own.
+const peerPort = 6900
+
+func (c *cluster) seeds() []string {
+	var seeds []string
+	for _, host := range c.hosts {
+		seeds = append(seeds, net.JoinHostPort(host, strconv.Itoa(peerPort)))
+	}
+	return seeds
+}
+
 func (c *cluster) start(g *process) {
 	g.cmd = exec.Command(c.program, "--settings", g.settings)
 	assert.NilError(c.t, g.cmd.Start())
@@ -153,7 +174,8 @@
 }
 
 func (c *cluster) register(r *replica.Replica, state string) {
-	entry := map[string]any{"service": "app", "address": r.Address(), "zone": "a", "slots": 8, "state": state, "born": 1}
+	path := c.paths[1+slices.Index(c.replicas, r)]
+	entry := map[string]any{"service": "app", "address": path.Address(), "zone": "a", "slots": 8, "state": state, "born": 1}
 	data, err := json.Marshal(entry)
 	assert.NilError(c.t, err)
 	c.store.Put("servers", r.ID, data)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/relay"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 )
 
@@ -56,6 +57,20 @@
 	}},
 	{"gateway wakes", func(c *cluster, random *rand.Rand) { c.resume(c.gateway(random)) }},
 	{"settings signal", func(c *cluster, random *rand.Rand) { _ = c.gateway(random).cmd.Process.Signal(syscall.SIGHUP) }},
+	{"path silent", func(c *cluster, random *rand.Rand) { c.path(random).Silence() }},
+	{"path one way", func(c *cluster, random *rand.Rand) {
+		if random.IntN(2) == 0 {
+			c.path(random).Mute()
+		} else {
+			c.path(random).Deafen()
+		}
+	}},
+	{"path reset", func(c *cluster, random *rand.Rand) { c.path(random).Reset() }},
+	{"path slow", func(c *cluster, random *rand.Rand) {
+		c.path(random).SetDelay(time.Duration(random.IntN(300)) * time.Millisecond)
+	}},
+	{"path dark", func(c *cluster, random *rand.Rand) { c.path(random).SetDark(true) }},
+	{"path is well", func(c *cluster, random *rand.Rand) { wellPath(c.path(random)) }},
 	{"store down", func(c *cluster, _ *rand.Rand) { c.store.SetDown(true) }},
 	{"store up", func(c *cluster, _ *rand.Rand) { c.store.SetDown(false) }},
 	{"store forgets", func(c *cluster, _ *rand.Rand) { c.store.Forget() }},
@@ -83,6 +98,13 @@
 	return c.replicas[random.IntN(len(c.replicas))]
 }
 
+func (c *cluster) path(random *rand.Rand) *relay.Relay { return c.paths[random.IntN(len(c.paths))] }
+
+func wellPath(r *relay.Relay) {
+	r.SetDark(false)
+	r.SetDelay(0)
+}
+
 func (c *cluster) gateway(random *rand.Rand) *process {
 	return c.gateways[random.IntN(len(c.gateways))]
 }
@@ -96,6 +118,9 @@
 func (c *cluster) heal() {
 	c.logf("healed")
 	c.store.SetDown(false)
+	for _, r := range c.paths {
+		wellPath(r)
+	}
 	for _, g := range c.gateways {
 		c.resume(g)
 	}
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -22,6 +22,10 @@
 // it before the listener that it is meant for.
 func Address() string {
 	n := int(last.Add(1))
+	return fmt.Sprintf("%s:%d", host(1+n%perPort), firstPort+n/perPort)
+}
+
+func host(n int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8&127, pid&255, 1+n%perPort, firstPort+n/perPort)
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, n)
 }
