Endpoints that are slower than their service's others are left, and tried again later

Change: each endpoint's times to first events are held against what was expected, beside the same figure of the whole service (in overload all take longer). What is slower costs more, is taken as further behind, and from 1.5 times on is no home; what nothing confirms fades in 8 s, and the endpoint is tried again.

--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -73,7 +73,7 @@
 		// that in a burst it would feed on itself.
 		return false
 	default:
-		return s.ahead(q) <= q.backlogLimit(of.pace.tokens())
+		return s.ahead(q)*s.slowness(now, of) <= q.backlogLimit(of.pace.tokens())
 	}
 }
 
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -50,6 +50,7 @@
 	peers work // those of the peers, as they last told
 	given rate // prompt tokens that this process gives it to read
 	gaps  gaps // of the streams of this process
+	slow  slowness
 
 	peerGaps peerGaps
 
@@ -102,6 +103,7 @@
 	memory    int // of one engine in tokens; 0 if not known
 	pace      pace
 	answers   answers
+	slow      slowness // of all endpoints together
 	reading   rate
 }
 
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -54,8 +54,14 @@
 	}
 	if !k.first {
 		k.first = true
+		of := t.service(k.Endpoint.Service)
+		if k.parts && of.pace.learned > 0 {
+			took, expected := now.Sub(k.at), of.pace.expected(k.Backlog+k.Unread)
+			k.state.slow.learn(now, took, expected, slowWeight)
+			of.slow.learn(now, took, expected, generalWeight)
+		}
 		if k.work.long > 0 {
-			t.service(k.Endpoint.Service).pace.learn(now.Sub(k.at), k.Backlog+k.Unread)
+			of.pace.learn(now.Sub(k.at), k.Backlog+k.Unread)
 		}
 		k.state.own.add(work{unread: k.work.unread, long: k.work.long}, -1)
 		k.work.unread, k.work.long = 0, 0
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -60,6 +60,11 @@
 	return p.learned
 }
 
+// expected returns the time to a first event behind a number of prompt tokens.
+func (p *pace) expected(tokens int) time.Duration {
+	return p.base + time.Duration(float64(tokens)/p.tokens()*float64(time.Millisecond))
+}
+
 // rate is an average of what comes in a second, newer amounts weighing more.
 type rate struct {
 	sum float64
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -54,7 +54,8 @@
 
 	state    *state
 	work     work
-	expected int // tokens of the answer
+	expected int  // tokens of the answer
+	parts    bool // it has a prompt
 	at       domain.Instant
 	first    bool
 	ended    bool
@@ -138,7 +139,9 @@
 		side = open[:size]
 	}
 	homes := homes(side, q.Parts)
-	homeless := !slices.Contains(usable, homes.first) && !slices.Contains(usable, homes.second)
+	sound := func(s *state) bool { return slices.Contains(usable, s) && s.slowness(now, of) < slowFrom }
+	firstSound := sound(homes.first)
+	homeless := !firstSound && !sound(homes.second)
 	sideless := !slices.ContainsFunc(usable, func(s *state) bool { return slices.Contains(side, s) })
 	var best *state
 	var chosen position
@@ -148,7 +151,7 @@
 			away:    homes.number(s) == 0 && !homeless,
 			leaving: slices.Contains(open[size:max(size, of.split.recent)], s),
 			home:    homes.number(s),
-			spill:   isLong(q) && homes.number(s) == 2 && slices.Contains(usable, homes.first),
+			spill:   isLong(q) && homes.number(s) == 2 && firstSound,
 			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
 		}
 		if !s.admits(now, of, q, p) || !s.finishes(now, of, q, p) {
@@ -174,7 +177,7 @@
 	return t.place(now, best, w, Ticket{
 		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
 		Home: chosen.home, Demand: best.demand(now),
-		Pace: of.pace.tokens(), Duty: best.duty(now, of), Gap: best.gap(now), expected: q.expected(),
+		Pace: of.pace.tokens(), Duty: best.duty(now, of), Gap: best.gap(now), expected: q.expected(), parts: true,
 	})
 }
 
@@ -196,7 +199,8 @@
 	if decodeHeavy(q) {
 		backlog += float64(s.own.long+s.peers.long) * unreadWeight
 	}
-	score += (backlog + p.unread*unreadWeight) / prefillHorizon
+	slow := s.slowness(now, of)
+	score += (backlog+p.unread*unreadWeight)/prefillHorizon*slow + (slow-1)*slowCost
 	if !p.ownSide {
 		score += crossingCost
 	}
--- a/internal/replay/engine_test.go
+++ b/internal/replay/engine_test.go
@@ -50,6 +50,7 @@
 	// reread is the tokens of shared parts that were read though another engine had read them.
 	read, reread int
 	known        map[uint64]bool // parts read by any engine
+	slow         time.Duration   // times that each step takes; 0 for 1
 }
 
 func (e *engine) accept(now time.Duration, q *request) {
@@ -181,7 +182,7 @@
 		}
 	}
 	took += time.Duration(float64(readAtOnce-budget) / readPerMilli * float64(time.Millisecond))
-	e.at += took
+	e.at += took * max(e.slow, 1)
 	for _, r := range making {
 		r.made++
 		e.memory++
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -100,6 +100,21 @@
 	atLeast(t, "notes in time", w.share("notes", 0, time.Hour, (*request).inTime), 0.97)
 }
 
+// A few engines work several times as long, and their queues look like others'.
+func TestSlowEngines(t *testing.T) {
+	w := newWorld(11, gateways, engines)
+	load := []stream{long(steady(40)), short(steady(49)), notes(steady(16))}
+	w.play(4*time.Second, load...)
+	for _, e := range w.engines[:3] {
+		e.slow = 5
+	}
+	w.play(12*time.Second, load...)
+	w.drain()
+	for _, kind := range []string{"long", "short", "notes"} {
+		atLeast(t, kind+" in time", w.share(kind, 0, time.Hour, (*request).inTime), 0.95)
+	}
+}
+
 // A gateway that hears no peer still keeps the urgent streams in time.
 func TestGatewayCutOff(t *testing.T) {
 	w := newWorld(5, gateways, engines)
