The layout of a service's engines before a request is worked out apart from the choice

Cause: the choice of an engine had grown to a function of 45 lines that worked out sides, homes and what may be used between the lines of the loop. Change: layOut and position say how the engines stand, pickEngine chooses.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -130,30 +130,12 @@
 }
 
 func (t *Table) pickEngine(now domain.Instant, of *service, usable []*state, q Query) *Ticket {
-	open := slices.DeleteFunc(slices.Clone(of.endpoints), func(s *state) bool { return s.Draining })
-	reading, setAside := t.asked(now, of, q.Service)
-	size := of.split.update(now, open, reading, of.pace.tokens(), setAside)
-	decode := decodeHeavy(q)
-	side := open[size:]
-	if decode && size > 0 {
-		side = open[:size]
-	}
-	homes := homes(side, q.Parts)
-	sound := func(s *state) bool { return slices.Contains(usable, s) && s.slowness(now, of) < slowFrom }
-	firstSound := sound(homes.first)
-	homeless := !firstSound && !sound(homes.second)
-	sideless := !slices.ContainsFunc(usable, func(s *state) bool { return slices.Contains(side, s) })
+	l := t.layOut(now, of, usable, q)
 	var best *state
 	var chosen position
 	for _, s := range usable {
-		p := position{
-			ownSide: size == 0 || slices.Contains(side, s) || sideless && !decode,
-			away:    homes.number(s) == 0 && !homeless,
-			leaving: slices.Contains(open[size:max(size, of.split.recent)], s),
-			home:    homes.number(s),
-			spill:   isLong(q) && homes.number(s) == 2 && firstSound,
-			unread:  t.unread(now, s, q.Parts, homes.discount(s)),
-		}
+		p := l.position(s, q)
+		p.unread = t.unread(now, s, q.Parts, l.homes.discount(s))
 		if !s.admits(now, of, q, p) || !s.finishes(now, of, q, p) {
 			continue
 		}
@@ -165,22 +147,58 @@
 	if best == nil {
 		return nil
 	}
-	w := work{inFlight: 1, unread: int(chosen.unread), memory: q.memory()}
-	if isLong(q) {
-		w.long = w.unread
-	}
-	if decode {
-		w.decoding = 1
-	}
 	t.remember(now, best, q.Parts)
 	best.given.add(now, chosen.unread)
-	return t.place(now, best, w, Ticket{
-		Score: chosen.score, Candidates: len(usable), Split: size, OwnSide: chosen.ownSide,
+	return t.place(now, best, q.work(chosen), Ticket{
+		Score: chosen.score, Candidates: len(usable), Split: l.size, OwnSide: chosen.ownSide,
 		Home: chosen.home, Demand: best.demand(now),
 		Pace: of.pace.tokens(), Duty: best.duty(now, of), Gap: best.gap(now), expected: q.expected(), parts: true,
 	})
 }
 
+// work is what a request asks of the engine that it is placed on.
+func (q Query) work(p position) work {
+	w := work{inFlight: 1, unread: int(p.unread), memory: q.memory()}
+	if isLong(q) {
+		w.long = w.unread
+	}
+	if decodeHeavy(q) {
+		w.decoding = 1
+	}
+	return w
+}
+
+// layout is how the engines of a service stand to a request.
+type layout struct {
+	size    int      // number of engines set aside for long outputs
+	side    []*state // the side of the split that the request belongs to
+	leaving []*state // engines that have just left the side of long outputs
+	homes   homeSet
+	// firstSound is whether the first home could be used and is as fast as others.
+	firstSound bool
+	// homeless is whether neither home is so.
+	homeless bool
+	// sideless is whether a prompt's own side has no engine that could be used.
+	sideless bool
+}
+
+func (t *Table) layOut(now domain.Instant, of *service, usable []*state, q Query) layout {
+	open := slices.DeleteFunc(slices.Clone(of.endpoints), func(s *state) bool { return s.Draining })
+	reading, setAside := t.asked(now, of, q.Service)
+	l := layout{size: of.split.update(now, open, reading, of.pace.tokens(), setAside)}
+	l.leaving = open[l.size:max(l.size, of.split.recent)]
+	l.side = open[l.size:]
+	if decodeHeavy(q) && l.size > 0 {
+		l.side = open[:l.size]
+	}
+	l.homes = homes(l.side, q.Parts)
+	sound := func(s *state) bool { return slices.Contains(usable, s) && s.slowness(now, of) < slowFrom }
+	l.firstSound = sound(l.homes.first)
+	l.homeless = !l.firstSound && !sound(l.homes.second)
+	l.sideless = !decodeHeavy(q) && !slices.ContainsFunc(usable, func(s *state) bool { return slices.Contains(l.side, s) })
+	return l
+}
+
 // position is how an endpoint stands to a request.
 type position struct {
 	ownSide bool
@@ -192,6 +210,17 @@
 	score   float64
 }
 
+func (l layout) position(s *state, q Query) position {
+	home := l.homes.number(s)
+	return position{
+		ownSide: l.size == 0 || l.sideless || slices.Contains(l.side, s),
+		away:    home == 0 && !l.homeless,
+		leaving: slices.Contains(l.leaving, s),
+		home:    home,
+		spill:   isLong(q) && home == 2 && l.firstSound,
+	}
+}
+
 // engineScore is the cost of a request at an engine, in shares of a full one.
 func (t *Table) engineScore(now domain.Instant, of *service, s *state, q Query, p position) float64 {
 	score := t.baseScore(now, s) + s.memoryScore(of.memory, q)
