--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -129,7 +129,7 @@
 	}
 	adminLn, err := net.Listen("tcp", a.settings.Admin)
 	if err != nil {
-		_ = ln.Close()
+		logClosed("agent links", ln.Close())
 		return errors.Wrapf(err, "step=listen peer=%s", a.settings.Admin)
 	}
 	a.Listen, a.Admin = ln.Addr().String(), adminLn.Addr().String()
@@ -172,7 +172,7 @@
 func (a *Agent) Close() {
 	a.cancel()
 	a.links.Close()
-	_ = a.admin.Close()
+	logClosed("agent admin", a.admin.Close())
 	a.engine.Close()
 	a.work.Wait()
 	a.metrics.close()
--- /dev/null
+++ b/internal/app/close_test.go
@@ -0,0 +1,27 @@
+package app
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+)
+
+// An end that failed is told; one that came twice is not.
+func TestClosesAreTold(t *testing.T) {
+	var log bytes.Buffer
+	klog.LogToStderr(false)
+	klog.SetOutput(&log)
+	t.Cleanup(func() { klog.LogToStderr(true) })
+	logClosed("links", nil)
+	logClosed("links", errors.Wrap(net.ErrClosed, "close"))
+	klog.Flush()
+	assert.Equal(t, log.String(), "")
+	logClosed("links", errors.New("disk on fire"))
+	klog.Flush()
+	assert.Assert(t, strings.Contains(log.String(), "disk on fire"), log.String())
+}
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -49,6 +50,14 @@
 	return process, nil
 }
 
+// logClosed tells of a listener or server that did not close cleanly. Being
+// closed already is no fault: a stop may be followed by an end at once.
+func logClosed(what string, err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		klog.ErrorS(err, "not closed", "what", what)
+	}
+}
+
 // logServe logs the end of a server that ended by a fault.
 func logServe(server string, err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -151,7 +151,7 @@
 
 func closeListeners(listeners []net.Listener) {
 	for _, ln := range listeners {
-		_ = ln.Close()
+		logClosed("entry listener", ln.Close())
 	}
 }
 
@@ -354,7 +354,7 @@
 	e.stopping.Store(true)
 	time.Sleep(e.settings.StopNotice)
 	e.loop.put(entry.Shutdown{})
-	_ = e.caller.Shutdown(context.Background())
+	logClosed("caller API", e.caller.Shutdown(context.Background()))
 	for !e.idle.Load() {
 		time.Sleep(tickInterval)
 	}
@@ -368,8 +368,8 @@
 // Close ends the entry at once and cuts what is in progress.
 func (e *Entry) Close() {
 	e.cancel()
-	_ = e.caller.Close()
-	_ = e.admin.Close()
+	logClosed("caller API", e.caller.Close())
+	logClosed("operator API", e.admin.Close())
 	e.agents.Close()
 	e.peers.Close()
 	e.work.Wait()
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -13,16 +13,15 @@
 // for it was read in vain. A request therefore goes only where it can also end.
 
 const (
-	// gapTime is the time over which the gaps between events are averaged.
+	// gapTime is the time over which the gaps between events are averaged. A wave of
+	// prompts lasts a fraction of a second, the answers that it delays some seconds.
 	gapTime = 2 * time.Second
 	// gapLife is how long gaps tell of an engine: about the length of an answer.
 	gapLife = 3 * time.Second
 	// scarceShare is the share of an engine's time that long prompts take from
-	// which on a request that doesn't end takes the place of one that would.
+	// which on a request that doesn't end takes the place of one that would. The
+	// tokens of the answers take the rest: engines read without pause from 0.7 on.
 	scarceShare = 0.45
-	// endMargin is the share by which an answer may take longer than estimated:
-	// callers know the length of their answers only roughly.
-	endMargin = 1.0
 	// answerWeight is the weight of one answer in the averages over answers.
 	answerWeight = 0.02
 )
@@ -114,6 +113,6 @@
 		return true
 	}
 	reading := (s.ahead(q) + p.unread) / of.pace.tokens() * float64(time.Millisecond)
-	answer := endMargin * float64(gap) * float64(q.expected()) * of.answers.events / of.answers.tokens
+	answer := float64(gap) * float64(q.expected()) * of.answers.events / of.answers.tokens
 	return now.Add(of.pace.base+time.Duration(reading+answer)) <= q.Deadline
 }
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -13,7 +13,8 @@
 // are left for endpoints that are as fast as usual, and tried again after a while.
 
 const (
-	// slowWeight is the weight of one answer in an endpoint's slowness.
+	// slowWeight is the weight of one answer in an endpoint's slowness: some three
+	// answers tell that it is slow.
 	slowWeight = 0.3
 	// slowLife is the time in which a slowness that no answer confirms falls to a
 	// third: the endpoint is tried again.
@@ -23,7 +24,8 @@
 	// slowCost is the cost of an endpoint for each time that it is slower than
 	// usual, in shares of a full one.
 	slowCost = 0.3
-	// generalWeight is the weight of one answer in the slowness of all endpoints.
+	// generalWeight is the weight of one answer in the slowness of all endpoints,
+	// low enough that a slow one doesn't pass for the general state.
 	generalWeight = 0.02
 	// slowFrom is the slowness from which on sessions leave their first home.
 	slowFrom = 1.5
--- a/internal/revision/core.go
+++ b/internal/revision/core.go
@@ -35,8 +35,10 @@
 
 // Core is the decision core. It is not safe for concurrent use.
 type Core struct {
-	self    domain.EntryID
-	life    domain.Incarnation
+	self domain.EntryID
+	life domain.Incarnation
+	// random spreads the polls. It is seeded by Options, so that the same inputs
+	// give the same times.
 	random  *rand.Rand
 	started bool
 	startAt domain.Instant
