--- a/internal/replay/engine_test.go
+++ b/internal/replay/engine_test.go
@@ -273,6 +273,9 @@
 // expired reports whether the caller's timeout has passed and it has disconnected.
 func (q *request) expired(now time.Duration) bool { return now > q.arrived+q.timeout }
 
+// served reports whether the answer is complete.
+func (q *request) served() bool { return q.completed }
+
 // metTargets reports whether the answer is complete, its first event arrived
 // within the latency target and no event gap exceeded its target.
 func (q *request) metTargets() bool {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -166,6 +166,40 @@
 	checkAtLeast(t, "dossier served", sim.fractionOf("dossier", 0, time.Hour, served), 0.8)
 }
 
+// TestUrgentRequestsStarvedByLessUrgentPrefill guards against urgent requests that are
+// rejected because less urgent prompts, whose prefill lengthens all answers, are still
+// placed: no window of five seconds may lose more than a twelfth of a kind of
+// requests while less urgent ones start.
+func TestUrgentRequestsStarvedByLessUrgentPrefill(t *testing.T) {
+	const window, minFailures, maxFraction = 5 * time.Second, 10, 1.0 / 12
+	for name, load := range map[string]struct {
+		engine          engineSpec
+		engines         int
+		kind            string
+		lessUrgent      workload
+		urgent, highest workload
+		urgentTimeout   time.Duration
+	}{
+		"short prompts":             {mixtureOfExperts, 12, "short", longPrompts(burstRate(64, 3, 2*time.Second, 12*time.Second)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)), 3 * time.Second},
+		"short prompts, short time": {mixtureOfExperts, 12, "short", longPrompts(burstRate(64, 3, 2*time.Second, 12*time.Second)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)), time.Second},
+		"long prompts, short time":  {dense, 18, "programme", dossiers(burstRate(23, 2.5, 2*time.Second, 12*time.Second)), programmeNotes(constantRate(17)), memberQuestions(constantRate(35)), 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				sim := newSimulationOf(load.engine, 40+seed, 5, load.engines)
+				urgent := load.urgent
+				urgent.timeout = load.urgentTimeout
+				sim.simulate(12*time.Second, load.lessUrgent, urgent, load.highest)
+				sim.finishRequests()
+				fraction := sim.worstWindowFraction(load.kind, window, minFailures)
+				t.Logf("seed %d: worst window %.3f, served %.3f, less urgent %.3f, most urgent %.3f", 40+seed, fraction,
+					sim.fractionOf(load.kind, 0, time.Hour, (*request).served), sim.fractionOf(load.lessUrgent.name, 0, time.Hour, (*request).served), sim.fractionOf(load.highest.name, 0, time.Hour, (*request).metTargets))
+				assert.Check(t, fraction <= maxFraction, "seed %d: %.3f of the %s requests of a window got no answer, at most %.3f", 40+seed, fraction, load.kind, maxFraction)
+			}
+		})
+	}
+}
+
 // TestSharedPartsAreFetched guards against shared parts that are prefilled again
 // wherever a session goes when its engine is busy, although another engine has them.
 func TestSharedPartsAreFetched(t *testing.T) {
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -364,6 +364,29 @@
 	return float64(matching) / float64(n)
 }
 
+// worstWindowFraction returns the largest fraction of a workload's requests without a
+// complete answer, over the windows of a length that begin every half second.
+// Windows with fewer than minFailures such requests don't count.
+func (sim *simulation) worstWindowFraction(kind string, window time.Duration, minFailures int) float64 {
+	worst := 0.0
+	for from := time.Duration(0); from+window <= sim.now; from += 500 * time.Millisecond {
+		n, failed := 0, 0
+		for _, q := range sim.requests {
+			if q.kind != kind || q.arrived < from || q.arrived >= from+window {
+				continue
+			}
+			n++
+			if !q.completed {
+				failed++
+			}
+		}
+		if failed >= minFailures {
+			worst = max(worst, float64(failed)/float64(n))
+		}
+	}
+	return worst
+}
+
 // uniquePrefillFraction returns the fraction of prefilled tokens that no engine
 // had prefilled before.
 func (sim *simulation) uniquePrefillFraction() float64 {
