Gateway: the request limit that an endpoint names is decoded and logged

Change: the dialect reads Server-Limit, a decimal number of requests per second; an invalid value says nothing. The placement table keeps the last one of each endpoint, and a change is logged as 'endpoint limit'. A limit ends with a signed answer without one to a request that was placed after the limit was last seen. It has no effect on placement yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -114,6 +115,9 @@
 	if answer.ReportedLoad != nil {
 		g.recordLoad(a.ticket, *answer.ReportedLoad)
 	}
+	if !answer.Misdirected {
+		g.recordLimit(a.ticket, answer)
+	}
 	if answer.NotRun {
 		return a.handleNotRun(response, answer)
 	}
@@ -242,6 +246,20 @@
 	g.table.RecordLoad(g.now(), ticket, load)
 }
 
+// recordLimit passes the request limit that an endpoint named to the placement table. Only
+// a signed answer without a limit ends one: an answer that was spoilt says nothing.
+func (g *Gateway) recordLimit(ticket *placement.Ticket, answer Answer) {
+	if math.IsNaN(answer.RequestLimit) || math.IsInf(answer.RequestLimit, 1) && !answer.Signed {
+		return
+	}
+	g.mu.Lock()
+	changed := g.table.RecordLimit(g.now(), ticket, answer.RequestLimit)
+	g.mu.Unlock()
+	if changed {
+		klog.InfoS("endpoint limit", "endpoint", ticket.Endpoint.ID, "requests_per_s", answer.RequestLimit, "peer", "")
+	}
+}
+
 // end reports the result of an attempt to the placement table.
 func (g *Gateway) end(ticket *placement.Ticket, result placement.Result) {
 	g.mu.Lock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -61,6 +61,9 @@
 	Misdirected bool
 	// ReportedLoad is the endpoint's load; nil if the answer has none.
 	ReportedLoad *placement.ReportedLoad
+	// RequestLimit is the number of requests per second that the endpoint takes from all
+	// gateways together: +Inf if it names no limit, NaN if what it names is invalid.
+	RequestLimit float64
 }
 
 // Dialect encodes and decodes the headers that callers and endpoints use.
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -67,6 +67,8 @@
 	inFlightAtReport int // local.inFlight when the report arrived
 	hasReport        bool
 
+	limit requestLimit
+
 	lastReceived     domain.Instant // arrival of the last bytes on any connection
 	outstandingSince domain.Instant // start of the current period with requests in progress
 	failureRate      float64        // moving average of failed requests, 0 to 1
