Test: an engine gets more requests than the limit that it names

Change: engines of internal/replay can name a limit; the check counts the requests of the gateways that were told, over 4 s from 3 s after the first answer with the limit, and allows one and a half times the limit plus 5, as the rule does.

--- a/internal/replay/engine_test.go
+++ b/internal/replay/engine_test.go
@@ -80,7 +80,9 @@
 	// engine had prefilled before.
 	prefillTokens, repeatedPrefillTokens int
 	prefilledParts                       map[uint64]bool // by part, of all engines
-	slowdown                             time.Duration   // a factor, not a duration: multiplies the step time; 0 is the same as 1
+	limit                                requestLimit
+	arrivals                             []arrival
+	slowdown                             time.Duration // a factor, not a duration: multiplies the step time; 0 is the same as 1
 }
 
 // accept queues a request at the engine.
@@ -89,6 +91,7 @@
 		e.stepEnd = max(e.stepEnd, now)
 	}
 	e.runs = append(e.runs, &run{request: q, sentAt: now})
+	e.arrivals = append(e.arrivals, arrival{at: now, gateway: q.gateway})
 }
 
 // admit assigns slots and memory to queued runs, in the order of e.runs, until one
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -291,8 +291,12 @@
 
 func (sim *simulation) send(q *request, t *placement.Ticket) {
 	q.ticket = t
-	i := slices.IndexFunc(sim.engines, func(e *engine) bool { return e.id == t.Endpoint.ID })
-	sim.engines[i].accept(sim.now, q)
+	sim.engineOf(t).accept(sim.now, q)
+}
+
+// engineOf returns the engine that a request was placed on.
+func (sim *simulation) engineOf(t *placement.Ticket) *engine {
+	return sim.engines[slices.IndexFunc(sim.engines, func(e *engine) bool { return e.id == t.Endpoint.ID })]
 }
 
 // handleEvent records an event of an answer that arrives at the gateway.
@@ -305,6 +309,7 @@
 	g.table.RecordReceived(domain.Instant(at)+1, q.ticket, 1)
 	if q.firstEventAt == 0 {
 		q.firstEventAt = at
+		sim.engineOf(q.ticket).nameLimit(at, g, q)
 	} else {
 		q.longestEventGap = max(q.longestEventGap, at-r.last)
 	}
