Placement: gateways divide the request limit that an endpoint names

What callers saw: nothing; the operators of the endpoint did. An engine in need that took 1.7 requests a second got 18 in 4 s (LIMIT).

Cause: no gateway read Server-Limit. An engine with a limit has few requests in progress, which makes it the cheapest choice. Class of fault: a statement of an endpoint about itself is dropped at the edge, because what is read there was written down once and not compared with the protocol since.

Change: in any window of 5 s an endpoint takes a whole number of requests, its quota. Each gateway has a share of it that follows from rendezvous scores of the gateways for the endpoint; the shares add up to the quota, without messages. Digests carry what endpoints have said, with its age; the latest answer counts. Peers are remembered for a minute after they were removed, so that a gateway that is cut off does not take the shares of the others; a gateway that has just started waits 4 s. An endpoint that got far more than its new limit before it named it gets nothing for a window: the rule counts those requests too. The record outlasts the registry entry.

Why it works: the sum over all gateways is bounded by construction, for any rate and any number of gateways, as long as they know each other; a limit below what was sent before is met by waiting.

Ruled out: a token bucket with an equal rate for each gateway, whose saved tokens add up to one for each gateway (31 against 15 allowed); counts in digests, which are 100 ms old.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
@@ -125,7 +127,24 @@
 
 // PeerDigest applies a peer's summary of its requests in progress.
 func (g *Gateway) PeerDigest(peer string, d placement.PeerDigest) {
+	g.mu.Lock()
+	changed := g.table.PeerDigest(g.now(), peer, d)
+	g.mu.Unlock()
+	for _, limit := range changed {
+		klog.InfoS("endpoint limit", "endpoint", limit.Endpoint, "requests_per_s", limit.PerSecond, "peer", peer)
+	}
+}
+
+// PeersKnown divides the request limits of endpoints between this gateway and its peers.
+func (g *Gateway) PeersKnown(peers []netip.Addr) {
+	others := make([]uint64, 0, len(peers))
+	for _, peer := range peers {
+		others = append(others, processNumber(peer))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.PeerDigest(g.now(), peer, d)
+	g.table.SetProcesses(g.now(), processNumber(g.settings.PeerAddress.Addr()), others)
 }
+
+// processNumber identifies the gateway at an IP address in Table.SetProcesses.
+func processNumber(address netip.Addr) uint64 { return xxhash.Sum64String(address.String()) }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -40,6 +41,8 @@
 	Digest() placement.PeerDigest
 	// PeerDigest replaces the last digest of a peer. An empty digest removes the peer.
 	PeerDigest(peer string, d placement.PeerDigest)
+	// PeersKnown handles a change of the peers that may be running or were a while ago.
+	PeersKnown(peers []netip.Addr)
 	// Confirmation returns the newest confirmation of the configuration that this
 	// process knows.
 	Confirmation() confirmation.Confirmation
@@ -57,6 +60,7 @@
 	sequence    uint64
 	lastDigest  placement.PeerDigest
 	lastSent    time.Time
+	knownPeers  []netip.Addr // last ones passed to PeersKnown; nil before the first call
 
 	mu      sync.Mutex
 	members *Members
@@ -126,23 +130,28 @@
 
 func (e *Exchange) now() domain.Instant { return domain.Instant(time.Since(e.started)) }
 
-// expire removes the digests of expired peers from the handler.
+// expire removes the digests of expired peers from the handler and passes changes of the
+// known peers on to it.
 func (e *Exchange) expire() {
 	e.mu.Lock()
-	expired := e.members.Expire(e.now())
+	expired, remembered := e.members.Expire(e.now()), e.members.Remembered()
 	e.mu.Unlock()
+	if e.knownPeers == nil || !slices.Equal(remembered, e.knownPeers) {
+		e.knownPeers = remembered
+		e.handler.PeersKnown(remembered)
+	}
 	for _, peer := range expired {
 		klog.InfoS("peer silent", "peer", peer)
 		e.handler.PeerDigest(peer.String(), placement.PeerDigest{})
 	}
 }
 
-// send sends a digest to all targets, unless the endpoint loads are unchanged and
+// send sends a digest to all targets, unless the endpoint loads and limits are unchanged and
 // unchangedInterval has not passed. A change of only the prefill demands waits for
 // that interval.
 func (e *Exchange) send() {
 	digest := e.handler.Digest()
-	if slices.Equal(digest.Loads, e.lastDigest.Loads) && len(digest.Parts) == 0 && time.Since(e.lastSent) < unchangedInterval {
+	if slices.Equal(digest.Loads, e.lastDigest.Loads) && slices.EqualFunc(digest.Limits, e.lastDigest.Limits, sameLimit) && len(digest.Parts) == 0 && time.Since(e.lastSent) < unchangedInterval {
 		return
 	}
 	e.lastDigest, e.lastSent = digest, time.Now()
@@ -166,6 +175,14 @@
 	}
 }
 
+// sameLimit reports whether two statements of limits differ in their age at most.
+func sameLimit(a, b placement.PeerLimit) bool {
+	return a.Endpoint == b.Endpoint && a.PerSecond == b.PerSecond
+}
+
+// millisPerUnit is the number of thousandths, in which limits are sent, in one request per second.
+const millisPerUnit = 1000
+
 // encode returns the message for a digest. Negative amounts become 0.
 func (e *Exchange) encode(digest placement.PeerDigest, confirmed confirmation.Confirmation, listedPeers []netip.Addr) *pb.Digest {
 	d := &pb.Digest{Incarnation: e.incarnation, Sequence: e.sequence}
@@ -194,6 +211,11 @@
 		d.CachedPart = append(d.CachedPart, uint32(p.Part))
 		d.CachedAt = append(d.CachedAt, p.Endpoint)
 	}
+	for _, l := range digest.Limits {
+		d.LimitedEndpoint = append(d.LimitedEndpoint, l.Endpoint)
+		d.LimitMillis = append(d.LimitMillis, int64(math.Round(max(l.PerSecond, -1)*millisPerUnit)))
+		d.LimitAge = append(d.LimitAge, uint32(max(l.Age.Milliseconds(), 0)))
+	}
 	for _, address := range listedPeers {
 		bytes := address.As4()
 		d.Peer = append(d.Peer, binary.BigEndian.Uint32(bytes[:]))
@@ -264,7 +286,8 @@
 	if !ok {
 		return placement.PeerDigest{}, false
 	}
-	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) || len(d.CachedPart) != len(d.CachedAt) {
+	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) || len(d.CachedPart) != len(d.CachedAt) ||
+		len(d.LimitedEndpoint) != len(d.LimitMillis) || len(d.LimitedEndpoint) != len(d.LimitAge) {
 		return placement.PeerDigest{}, false
 	}
 	var digest placement.PeerDigest
@@ -287,6 +310,11 @@
 	for i, part := range d.CachedPart {
 		digest.Parts = append(digest.Parts, placement.PeerPart{Endpoint: d.CachedAt[i], Part: prefixindex.Key(part)})
 	}
+	for i, endpoint := range d.LimitedEndpoint {
+		digest.Limits = append(digest.Limits, placement.PeerLimit{
+			Endpoint: endpoint, PerSecond: float64(d.LimitMillis[i]) / millisPerUnit, Age: time.Duration(d.LimitAge[i]) * time.Millisecond,
+		})
+	}
 	return digest, true
 }
 
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -26,6 +26,9 @@
 	// minPeersForIsolation is the least number of peers whose missing digests
 	// indicate that this process is isolated.
 	minPeersForIsolation = 2
+	// departedMemory is how long a peer is remembered after it was removed. It may be
+	// running, and out of reach of this process only.
+	departedMemory = time.Minute
 	// maxMembers bounds the number of peers kept.
 	maxMembers = 512
 )
@@ -46,12 +49,13 @@
 	self          netip.Addr
 	seeds         []netip.Addr
 	members       map[netip.Addr]*member
-	isolatedSince domain.Instant // when most digests had expired; 0 while not isolated
+	departed      map[netip.Addr]domain.Instant // when peers were removed
+	isolatedSince domain.Instant                // when most digests had expired; 0 while not isolated
 }
 
 // NewMembers returns the members of a process that knows only its seeds.
 func NewMembers(self netip.Addr, seeds []netip.Addr) *Members {
-	m := &Members{self: self, members: make(map[netip.Addr]*member)}
+	m := &Members{self: self, members: make(map[netip.Addr]*member), departed: make(map[netip.Addr]domain.Instant)}
 	m.SetSeeds(seeds)
 	return m
 }
@@ -90,6 +94,7 @@
 	}
 	p = &member{address: address, lastListedAt: now}
 	m.members[address] = p
+	delete(m.departed, address)
 	return p
 }
 
@@ -124,6 +129,12 @@
 	for address, p := range m.members {
 		if !p.alive && now.Sub(max(p.lastDigestAt, p.lastListedAt)) > memberTimeout {
 			delete(m.members, address)
+			m.departed[address] = now
+		}
+	}
+	for address, at := range m.departed {
+		if now.Sub(at) > departedMemory {
+			delete(m.departed, address)
 		}
 	}
 	sortAddrs(expired)
@@ -159,6 +170,20 @@
 // PeerCount returns the number of peers that may be running.
 func (m *Members) PeerCount() int { return len(m.members) }
 
+// Remembered returns the peers that may be running, and those that were removed less than
+// departedMemory ago.
+func (m *Members) Remembered() []netip.Addr {
+	remembered := make([]netip.Addr, 0, len(m.members)+len(m.departed))
+	for address := range m.members {
+		remembered = append(remembered, address)
+	}
+	for address := range m.departed {
+		remembered = append(remembered, address)
+	}
+	sortAddrs(remembered)
+	return remembered
+}
+
 func sortAddrs(list []netip.Addr) {
 	slices.SortFunc(list, func(a, b netip.Addr) int { return cmp.Or(a.Compare(b)) })
 }
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -75,6 +75,8 @@
 	h.t.Errorf("a digest of %s was accepted", peer)
 }
 
+func (h unexpectedDigestHandler) PeersKnown([]netip.Addr) {}
+
 func (h unexpectedDigestHandler) Confirmation() confirmation.Confirmation {
 	return confirmation.Confirmation{}
 }
@@ -96,15 +98,46 @@
 	e.handleDatagram(addr(2), []byte{0xff, 0xff, 0xff})
 	_, ok := decode(&pb.Digest{Endpoint: []uint32{1, 2}, InFlight: []uint32{1}})
 	assert.Assert(t, !ok)
-	_, ok = decode(&pb.Digest{Service: []uint32{1}})
-	assert.Assert(t, !ok)
+	for _, invalid := range []*pb.Digest{{Service: []uint32{1}}, {LimitedEndpoint: []uint32{1}, LimitAge: []uint32{1}}, {LimitMillis: []int64{1}}} {
+		_, ok = decode(invalid)
+		assert.Assert(t, !ok)
+	}
+}
+
+// A peer that is out of reach is remembered after its removal, until it is heard again or
+// departedMemory has passed.
+func TestRemovedPeersAreRemembered(t *testing.T) {
+	m := NewMembers(addr(1), nil)
+	m.RecordDigest(instant(0), addr(2), 1, 1, nil)
+	m.RecordDigest(instant(0), addr(3), 1, 1, nil)
+	removedAt := instant(0).Add(memberTimeout + time.Millisecond)
+	for now := instant(0); now <= removedAt+isolated; now = now.Add(time.Second) {
+		m.RecordDigest(now, addr(4), 1, uint64(now), nil)
+		m.Expire(now)
+	}
+	assert.Equal(t, m.PeerCount(), 1)
+	assert.DeepEqual(t, m.Remembered(), []netip.Addr{addr(2), addr(3), addr(4)}, addrComparer())
+	now := removedAt + isolated
+	m.RecordDigest(now, addr(3), 2, 1, nil)
+	assert.Equal(t, m.PeerCount(), 2)
+	assert.DeepEqual(t, m.Remembered(), []netip.Addr{addr(2), addr(3), addr(4)}, addrComparer())
+	now = now.Add(departedMemory)
+	m.RecordDigest(now, addr(3), 2, 2, nil)
+	m.RecordDigest(now, addr(4), 1, uint64(now), nil)
+	m.Expire(now)
+	m.Expire(now.Add(time.Millisecond))
+	assert.DeepEqual(t, m.Remembered(), []netip.Addr{addr(3), addr(4)}, addrComparer())
 }
 
+// isolated is time for the digests of isolated peers to expire.
+const isolated = domain.Instant(2 * isolationGracePeriod)
+
 func TestDigestRoundTrip(t *testing.T) {
 	want := placement.PeerDigest{
 		Loads:          []placement.PeerLoad{{Endpoint: 7, InFlight: 1, Decoding: 2, Backlog: placement.Backlog{0: 3, 9: 4}, Memory: 5, Given: 6, Gap: 7 * time.Millisecond}},
 		PrefillDemands: []placement.PeerPrefillDemand{{Service: 8, TokensPerSecond: 9, SetAside: 10}},
 		Parts:          []placement.PeerPart{{Endpoint: 11, Part: 12}},
+		Limits:         []placement.PeerLimit{{Endpoint: 13, PerSecond: 1.7, Age: 14 * time.Millisecond}, {Endpoint: 15, PerSecond: -1}, {Endpoint: 16, PerSecond: 0}},
 	}
 	e := &Exchange{}
 	got, ok := decode(e.encode(want, confirmation.Confirmation{}, nil))
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -67,7 +67,7 @@
 	inFlightAtReport int // local.inFlight when the report arrived
 	hasReport        bool
 
-	limit requestLimit
+	*limitRecord
 
 	lastReceived     domain.Instant // arrival of the last bytes on any connection
 	outstandingSince domain.Instant // start of the current period with requests in progress
@@ -103,6 +103,10 @@
 	byHash         map[uint32]*endpointState // by hash in digests
 	peers          map[string]PeerDigest     // last digest of each peer
 	lastPartExpiry domain.Instant
+	limitRecords   map[string]*limitRecord // by endpoint, also of endpoints that were removed a while ago
+	joinedAt       domain.Instant          // first call of SetProcesses; 0 before it
+	process        uint64
+	otherProcesses []uint64
 	// announcements are the cached parts for the next digest, and
 	// repeatedAnnouncements those of the last one.
 	announcements, repeatedAnnouncements []PeerPart
@@ -137,12 +141,15 @@
 		byID:     make(map[string]*endpointState),
 		services: make(map[string]*service),
 		byHash:   make(map[uint32]*endpointState),
-		peers:    make(map[string]PeerDigest),
+
+		limitRecords: make(map[string]*limitRecord),
+		peers:        make(map[string]PeerDigest),
 	}
 }
 
 // Put adds an endpoint or updates its registry entry. If its start, address or
-// service has changed, all records of it are discarded.
+// service has changed, all records of it are discarded. If it was removed and is back, only
+// the record of its request limit is kept.
 func (t *Table) Put(now domain.Instant, e Endpoint) {
 	old := t.byID[e.ID]
 	if old != nil && old.Start == e.Start && old.Address == e.Address && old.Service == e.Service {
@@ -150,7 +157,7 @@
 		return
 	}
 	t.Remove(e.ID)
-	s := &endpointState{Endpoint: e, idHash: xxhash.Sum64String(e.ID), lastReceived: now}
+	s := &endpointState{Endpoint: e, idHash: xxhash.Sum64String(e.ID), lastReceived: now, limitRecord: t.limitRecordOf(now, e)}
 	t.byID[e.ID] = s
 	t.byHash[s.hash()] = s
 	for _, digest := range t.peers {
--- a/internal/placement/obstacles.go
+++ b/internal/placement/obstacles.go
@@ -17,6 +17,9 @@
 	// ObstacleUnavailable means that the endpoint drains, that the request was sent
 	// there before, or that it is avoided because of its failures or its silence.
 	ObstacleUnavailable
+	// ObstacleLimit means that the endpoint has got all requests of this process that the
+	// limit which it names allows.
+	ObstacleLimit
 	// ObstacleSlots means that all slots are in use.
 	ObstacleSlots
 	// ObstacleMemory means that the engine's key-value cache has no room.
@@ -37,7 +40,7 @@
 
 // String returns the obstacle's name in logs.
 func (o Obstacle) String() string {
-	return [...]string{"none", "unavailable", "slots", "memory", "long_prompt", "pool", "affinity", "backlog", "deadline"}[o]
+	return [...]string{"none", "unavailable", "limit", "slots", "memory", "long_prompt", "pool", "affinity", "backlog", "deadline"}[o]
 }
 
 // Obstacles is the number of a service's endpoints by the first obstacle that each has
@@ -69,7 +72,12 @@
 		return o
 	}
 	usable := t.usable(now, svc.endpoints, q)
-	o[ObstacleUnavailable] = len(svc.endpoints) - len(usable)
+	for _, s := range svc.endpoints {
+		if !t.withinLimit(now, s) {
+			o[ObstacleLimit]++
+		}
+	}
+	o[ObstacleUnavailable] = len(svc.endpoints) - len(usable) - o[ObstacleLimit]
 	if len(usable) == 0 {
 		return o
 	}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -48,6 +48,8 @@
 	// Parts are prompt parts that have come into use in the caches of endpoints. They
 	// are announced in a digest or two; later digests don't list them again.
 	Parts []PeerPart
+	// Limits are what endpoints have said of their request limits to the process.
+	Limits []PeerLimit
 }
 
 func (l PeerLoad) load() load {
@@ -77,22 +79,26 @@
 	}
 	slices.SortFunc(d.PrefillDemands, func(a, b PeerPrefillDemand) int { return cmp.Compare(a.Service, b.Service) })
 	d.Parts = t.takeAnnouncements()
+	d.Limits = t.ownLimits(now)
 	return d
 }
 
 func serviceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// PeerDigest replaces the last digest of a peer. An empty digest removes the peer.
-func (t *Table) PeerDigest(now domain.Instant, peer string, d PeerDigest) {
+// PeerDigest replaces the last digest of a peer. An empty digest removes the peer. It
+// returns the request limits of endpoints that have changed by it.
+func (t *Table) PeerDigest(now domain.Instant, peer string, d PeerDigest) []ChangedLimit {
 	t.addPeerParts(now, d.Parts)
+	changed := t.addPeerLimits(now, d.Limits)
 	t.addPeer(t.peers[peer].Loads, -1)
 	if len(d.Loads) == 0 && len(d.PrefillDemands) == 0 {
 		delete(t.peers, peer)
-		return
+		return changed
 	}
-	d.Parts = nil
+	d.Parts, d.Limits = nil, nil
 	t.peers[peer] = d
 	t.addPeer(d.Loads, 1)
+	return changed
 }
 
 // addPeer adds a peer's loads to those of the endpoints, or subtracts them if
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -340,12 +340,12 @@
 }
 
 // usable returns the endpoints that may take a request: those that neither drain
-// nor are excluded, and among them, if there are any, those that are responsive
-// and not in backoff.
+// nor are excluded nor have got all that their request limit allows, and among them, if
+// there are any, those that are responsive and not in backoff.
 func (t *Table) usable(now domain.Instant, all []*endpointState, q Query) []*endpointState {
 	var eligible, available []*endpointState
 	for _, s := range all {
-		if s.Draining || slices.Contains(q.Exclude, s.ID) {
+		if s.Draining || slices.Contains(q.Exclude, s.ID) || !t.withinLimit(now, s) {
 			continue
 		}
 		eligible = append(eligible, s)
@@ -420,5 +420,6 @@
 		s.outstandingSince = now
 	}
 	s.local.add(l, 1)
+	s.recordSent(now)
 	return &ticket
 }
--- a/internal/replay/limit_test.go
+++ b/internal/replay/limit_test.go
@@ -114,3 +114,75 @@
 		sim.simulateLimits(t, 14*time.Second, limitedLoad()...)
 	}
 }
+
+// TestRequestLimitsThatChange guards against a limit that is kept after it has changed or
+// ended: limits fall, rise and end, and requests come back after the end.
+func TestRequestLimitsThatChange(t *testing.T) {
+	sim := newSimulation(60, 5, engines)
+	sim.simulate(6*time.Second, limitedLoad()...)
+	e := sim.engines[3]
+	for _, perSecond := range []float64{4, 1.2, 0.05, 3.5, 0, 2, 0} {
+		e.setLimit(perSecond)
+		// A limit that falls allows the requests of the window before its change.
+		e.limit.namedAt = 0
+		changedAt := sim.now
+		sim.simulateLimits(t, 15*time.Second, limitedLoad()...)
+		if perSecond == 0 {
+			assert.Check(t, e.since(changedAt+10*time.Second) > 10, "%d requests in 5 s, 10 s after the limit has ended", e.since(changedAt+10*time.Second))
+		}
+	}
+}
+
+// TestRequestLimitsOfAllEngines guards against limits that keep more away than they have to:
+// if all engines have one, the requests that they allow are sent.
+func TestRequestLimitsOfAllEngines(t *testing.T) {
+	for _, gateways := range []int{1, 5, 23} {
+		sim := newSimulation(61, gateways, engines)
+		sim.simulate(6*time.Second, limitedLoad()...)
+		for _, e := range sim.engines {
+			e.setLimit(2)
+		}
+		sim.simulateLimits(t, 10*time.Second, limitedLoad()...)
+		from := sim.now
+		sim.simulateLimits(t, 10*time.Second, limitedLoad()...)
+		sent := 0
+		for _, e := range sim.engines {
+			sent += e.since(from)
+		}
+		checkAtLeast(t, "share of the limits in use", float64(sent)/float64(engines*2*10), 0.8)
+	}
+}
+
+// TestRequestLimitsWhileGatewaysChange guards against limits that are exceeded while gateways
+// join, restart, or are cut off from their peers.
+func TestRequestLimitsWhileGatewaysChange(t *testing.T) {
+	for seed := uint64(62); seed < 65; seed++ {
+		sim := newSimulation(seed, 5, engines)
+		sim.simulate(6*time.Second, limitedLoad()...)
+		for i, e := range sim.engines[:6] {
+			e.setLimit(1.1 + float64(i)/2)
+		}
+		sim.simulateLimits(t, 6*time.Second, limitedLoad()...)
+		sim.join()
+		sim.join()
+		sim.simulateLimits(t, 6*time.Second, limitedLoad()...)
+		sim.restart(1)
+		sim.simulateLimits(t, time.Second, limitedLoad()...)
+		sim.introduceGateways()
+		sim.simulateLimits(t, 6*time.Second, limitedLoad()...)
+		sim.gateways[0].isolated, sim.gateways[4].isolated = true, true
+		sim.simulateLimits(t, 10*time.Second, limitedLoad()...)
+		sim.gateways[0].isolated, sim.gateways[4].isolated = false, false
+		sim.introduceGateways()
+		sim.simulateLimits(t, 6*time.Second, limitedLoad()...)
+	}
+}
+
+// restart replaces a gateway by one that knows no peers yet.
+func (sim *simulation) restart(gateway int) {
+	sim.gateways[gateway] = sim.newGateway()
+	sim.gateways[gateway].table.SetProcesses(sim.instant(), uint64(gateway), nil)
+	for _, e := range sim.engines {
+		delete(e.limit.told, gateway)
+	}
+}
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -148,17 +148,44 @@
 		e.others = sim.engines
 	}
 	for range gateways {
-		g := &gatewayModel{
-			table:  placement.New(placement.Settings{CacheTTL: 30 * time.Second}),
-			queued: make(map[*waitqueue.Waiter]*request),
+		sim.join()
+	}
+	return sim
+}
+
+// join adds a gateway, which all gateways know at once.
+func (sim *simulation) join() {
+	sim.gateways = append(sim.gateways, sim.newGateway())
+	sim.introduceGateways()
+}
+
+// introduceGateways tells all gateways of each other, except for isolated ones.
+func (sim *simulation) introduceGateways() {
+	for i, g := range sim.gateways {
+		var others []uint64
+		for j, other := range sim.gateways {
+			if i != j && !other.isolated {
+				others = append(others, uint64(j))
+			}
 		}
-		g.table.SetEngine(modelService, placement.EngineProfile{MemoryTokens: spec.memoryTokens, CanFetch: true})
-		for i, e := range sim.engines {
-			g.table.Put(1, placement.Endpoint{ID: e.id, Address: e.address, Service: modelService, Slots: engineSlots, Start: int64(i)})
+		if !g.isolated {
+			g.table.SetProcesses(sim.instant(), uint64(i), others)
 		}
-		sim.gateways = append(sim.gateways, g)
 	}
-	return sim
+}
+
+// newGateway returns a gateway that knows all engines and no peers.
+func (sim *simulation) newGateway() *gatewayModel {
+	g := &gatewayModel{
+		table:  placement.New(placement.Settings{CacheTTL: 30 * time.Second}),
+		queued: make(map[*waitqueue.Waiter]*request),
+	}
+	spec := sim.engines[0].engineSpec
+	g.table.SetEngine(modelService, placement.EngineProfile{MemoryTokens: spec.memoryTokens, CanFetch: true})
+	for i, e := range sim.engines {
+		g.table.Put(1, placement.Endpoint{ID: e.id, Address: e.address, Service: modelService, Slots: engineSlots, Start: int64(i)})
+	}
+	return g
 }
 
 // instant returns the simulated time as an Instant. It starts at 1, because 0
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,7 +27,10 @@
 // call is one call and its response.
 type call struct {
 	id, path, key string
+	gateway       int // index in cluster.gateways
 	sent          time.Time
+	received      time.Time // end of the response
+	limitedBy     string    // signature of the replica that named a limit in the response; empty if none did
 	status        int
 	body          string
 	err           error // no response, or an incomplete one
@@ -99,13 +103,14 @@
 			c.mu.Unlock()
 		}
 	}
-	gateway := c.gateways[rng.IntN(len(c.gateways))]
-	request, err := http.NewRequest(http.MethodPost, "http://"+gateway.front+result.path, strings.NewReader("body of "+id))
+	result.gateway = rng.IntN(len(c.gateways))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[result.gateway].front+result.path, strings.NewReader("body of "+id))
 	if err != nil {
 		result.err = err
 		return result
 	}
 	request.Host = "app.example"
+	request.Header.Set(gatewayHeader, strconv.Itoa(result.gateway))
 	for name, values := range (dialect.Dialect{}).CallerHeaders(id, result.key, callDeadline) {
 		request.Header[name] = values
 	}
@@ -116,7 +121,10 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	result.status, result.body, result.err = response.StatusCode, string(body), err
+	result.status, result.body, result.err, result.received = response.StatusCode, string(body), err, time.Now()
+	if response.Header.Get("Server-Limit") != "" {
+		result.limitedBy = response.Header.Get("X-Replica-Seal")
+	}
 	return result
 }
 
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -44,11 +44,14 @@
 	config        []byte            // last configuration
 	storeServer   *httptest.Server
 	relays        []*relay.Relay // the store's, followed by one for each replica
+	heldBack      []*intervals   // of each relay: while it holds data back
 	replicas      []*replica.Replica
 	gateways      []*process
 	peerIPs       []string // one for each gateway, as all use the same port
 	configVersion int
 
+	limits []*limitPeriod
+
 	mu               sync.Mutex
 	log              []string
 	nextTemporaryKey int                  // number of the temporary key that is removed next
@@ -62,7 +65,8 @@
 	front        string // address for callers
 	ready        string // address of the readiness check
 	cmd          *exec.Cmd
-	stopped      bool // suspended by SIGSTOP
+	stopped      bool      // suspended by SIGSTOP
+	disturbed    intervals // while it is suspended; instants of its starts and ends
 }
 
 // parseSeeds parses a comma-separated list of numbers and ranges FIRST-LAST.
@@ -143,6 +147,7 @@
 	assert.NilError(c.t, err)
 	c.t.Cleanup(r.Close)
 	c.relays = append(c.relays, r)
+	c.heldBack = append(c.heldBack, &intervals{})
 }
 
 // newProcess writes the settings file of gateway i and returns its process, not yet
@@ -181,10 +186,12 @@
 func (c *cluster) start(g *process) {
 	g.cmd = exec.Command(c.program, "--settings", g.settingsPath)
 	assert.NilError(c.t, g.cmd.Start())
+	g.disturbed.touch()
 }
 
 // kill kills a gateway's process, suspended or not, and waits for its end.
 func (c *cluster) kill(g *process) {
+	g.disturbed.touch()
 	_ = g.cmd.Process.Signal(syscall.SIGCONT)
 	_ = g.cmd.Process.Kill()
 	_ = g.cmd.Wait()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -55,6 +55,7 @@
 	{"gateway suspended", func(c *cluster, rng *rand.Rand) {
 		g := c.randomGateway(rng)
 		g.stopped = true
+		g.disturbed.begin()
 		_ = g.cmd.Process.Signal(syscall.SIGSTOP)
 	}},
 	{"gateway resumed", func(c *cluster, rng *rand.Rand) { c.resume(c.randomGateway(rng)) }},
@@ -71,8 +72,14 @@
 	{"network delay set", func(c *cluster, rng *rand.Rand) {
 		c.randomRelay(rng).SetDelay(time.Duration(rng.IntN(300)) * time.Millisecond)
 	}},
-	{"network blackhole", func(c *cluster, rng *rand.Rand) { c.randomRelay(rng).SetBlackhole(true) }},
-	{"network faults cleared", func(c *cluster, rng *rand.Rand) { clearRelayFaults(c.randomRelay(rng)) }},
+	{"network blackhole", func(c *cluster, rng *rand.Rand) {
+		i := rng.IntN(len(c.relays))
+		c.heldBack[i].begin()
+		c.relays[i].SetBlackhole(true)
+	}},
+	{"network faults cleared", func(c *cluster, rng *rand.Rand) { c.clearRelayFaults(rng.IntN(len(c.relays))) }},
+	{"replica limit set", func(c *cluster, rng *rand.Rand) { c.setLimit(rng.IntN(len(c.replicas)), 0.5+4*rng.Float64()) }},
+	{"replica limit ended", func(c *cluster, rng *rand.Rand) { c.setLimit(rng.IntN(len(c.replicas)), 0) }},
 	{"store down", func(c *cluster, _ *rand.Rand) { c.store.SetDown(true) }},
 	{"store up", func(c *cluster, _ *rand.Rand) { c.store.SetDown(false) }},
 	{"store copied", func(c *cluster, _ *rand.Rand) { c.store.TakeCopy() }},
@@ -111,11 +118,12 @@
 
 func (c *cluster) randomRelay(rng *rand.Rand) *relay.Relay { return c.relays[rng.IntN(len(c.relays))] }
 
-// clearRelayFaults ends the blackhole and the delay of a relay. Connections that
+// clearRelayFaults ends the blackhole and the delay of relay i. Connections that
 // already drop data go on dropping it.
-func clearRelayFaults(r *relay.Relay) {
-	r.SetBlackhole(false)
-	r.SetDelay(0)
+func (c *cluster) clearRelayFaults(i int) {
+	c.relays[i].SetBlackhole(false)
+	c.relays[i].SetDelay(0)
+	c.heldBack[i].end()
 }
 
 func (c *cluster) randomGateway(rng *rand.Rand) *process {
@@ -126,6 +134,7 @@
 func (c *cluster) resume(g *process) {
 	g.stopped = false
 	_ = g.cmd.Process.Signal(syscall.SIGCONT)
+	g.disturbed.end()
 }
 
 // clearFaults ends the faults and restores the initial registrations and
@@ -134,8 +143,8 @@
 func (c *cluster) clearFaults() {
 	c.logf("healed")
 	c.store.SetDown(false)
-	for _, r := range c.relays {
-		clearRelayFaults(r)
+	for i := range c.relays {
+		c.clearRelayFaults(i)
 	}
 	for _, g := range c.gateways {
 		c.resume(g)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,6 +41,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
 	callers := startCallers(ctx, c, rng.Uint64())
+	if rng.IntN(2) == 0 {
+		// Limits that are set later seldom last long enough.
+		c.setLimit(0, 0.5+4*rng.Float64())
+	}
 	for ctx.Err() == nil {
 		a := actions[rng.IntN(len(actions))]
 		c.logf("action: %s", a.name)
@@ -50,6 +54,7 @@
 	c.clearFaults()
 	calls := callers.wait()
 	c.checkCalls(calls)
+	c.checkLimits(calls)
 	c.logf("seed %d: %d calls, %d succeeded, %d refused", seed, len(calls), countCalls(calls, succeeded), countCalls(calls, refused))
 	assert.Assert(t, countCalls(calls, succeeded) > 0, "no call succeeded")
 	// Every gateway must become ready once the faults are cleared.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -1,6 +1,6 @@
 // Package replica is a stand-in for a replica of a plain HTTP service, for tests and
 // the development deployment of the gateway. It serves the HTTP API that the gateway
-// calls (X-Attempt-Id, X-Expect-Replica, X-Replica-Seal). Package service stands in for instances that
+// calls (X-Attempt-Id, X-Expect-Replica, X-Replica-Seal, Server-Limit). Package service stands in for instances that
 // agents call. A replica writes HTTP/1.1 responses as raw bytes so that it can
 // truncate, forge and duplicate them. It records the requests that it executed.
 package replica
@@ -58,6 +58,16 @@
 	delay      time.Duration
 	executions []Execution
 	accepted   int
+	limit      float64 // requests per second named in the Server-Limit header; 0 for none
+	arrivals   []Arrival
+}
+
+// Arrival is a request that reached a replica, executed or not.
+type Arrival struct {
+	At     time.Time
+	Header http.Header
+	// Limit is the limit that the response named; 0 if it named none.
+	Limit float64
 }
 
 // Start starts a replica on 127.0.0.1 and a kernel-chosen port. It runs until Stop.
@@ -94,6 +104,21 @@
 	r.delay = d
 }
 
+// SetLimit sets the limit, in requests per second, that responses name in the Server-Limit
+// header. 0 ends it. The replica does not enforce it.
+func (r *Replica) SetLimit(perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = perSecond
+}
+
+// Arrivals returns the requests for this replica so far, oldest first.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrivals...)
+}
+
 // Executions returns the requests executed so far, oldest first.
 func (r *Replica) Executions() []Execution {
 	r.mu.Lock()
@@ -147,8 +172,9 @@
 		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
 		return true
 	}
+	limit := r.recordArrival(request)
 	if fault == NotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, limit)
 		return true
 	}
 	r.mu.Lock()
@@ -172,21 +198,33 @@
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
-		return r.writeStream(conn, request, fault, delay)
+		return r.writeStream(conn, request, limit, fault, delay)
 	}
 	time.Sleep(delay)
-	return r.writePlain(conn, id, fault)
+	return r.writePlain(conn, id, limit, fault)
+}
+
+// recordArrival records a request and returns the header line of the limit that its response
+// names; empty if there is none.
+func (r *Replica) recordArrival(request *http.Request) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), Header: request.Header, Limit: r.limit})
+	if r.limit == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Server-Limit: %g\r\n", r.limit)
 }
 
 // writePlain writes a response that is not a stream. It returns false if the
-// connection must be closed.
-func (r *Replica) writePlain(conn net.Conn, id string, fault Fault) bool {
-	status, signature := "200 OK", "X-Replica-Seal: seal-"+r.ID+"\r\n"
+// connection must be closed. limit is a header line.
+func (r *Replica) writePlain(conn net.Conn, id, limit string, fault Fault) bool {
+	status, signature := "200 OK", "X-Replica-Seal: seal-"+r.ID+"\r\n"+limit
 	switch fault {
 	case Error:
 		status = "500 Internal Server Error"
 	case MissingSignature:
-		signature = ""
+		signature = limit
 	case MissingLength:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\nwhole %s", id, signature, id)
 		return false
@@ -201,8 +239,8 @@
 
 // writeStream writes server-sent events numbered from 1 to streamEvents, starting
 // after the Last-Event-Id of the request. It returns false if the connection must
-// be closed.
-func (r *Replica) writeStream(conn net.Conn, request *http.Request, fault Fault, delay time.Duration) bool {
+// be closed. limit is a header line.
+func (r *Replica) writeStream(conn net.Conn, request *http.Request, limit string, fault Fault, delay time.Duration) bool {
 	lastID := 0
 	if last := request.Header.Get("Last-Event-Id"); last != "" {
 		n, err := strconv.Atoi(last)
@@ -212,8 +250,8 @@
 		lastID = n
 	}
 	id := request.Header.Get("X-Attempt-Id")
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\nContent-Type: text/event-stream\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", id, r.ID)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n%sContent-Type: text/event-stream\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", id, r.ID, limit)
 	for n := lastID + 1; n <= streamEvents; n++ {
 		time.Sleep(delay)
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
