--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,7 +122,7 @@
 		return a.handleNotRun(response, answer)
 	}
 	c.possibleRuns++
-	if response.StatusCode/100 == 2 && !answer.Signed {
+	if response.StatusCode/100 == 2 && answer.Signature == "" {
 		c.cause = "answer without signature"
 		return attemptFailed, placement.ResultFailed, nil
 	}
@@ -249,7 +249,7 @@
 // recordLimit passes the request limit that an endpoint named to the placement table. Only
 // a signed answer without a limit ends one: an answer that was spoilt says nothing.
 func (g *Gateway) recordLimit(ticket *placement.Ticket, answer Answer) {
-	if math.IsNaN(answer.RequestLimit) || math.IsInf(answer.RequestLimit, 1) && !answer.Signed {
+	if math.IsNaN(answer.RequestLimit) || math.IsInf(answer.RequestLimit, 1) && answer.Signature == "" {
 		return
 	}
 	g.mu.Lock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -51,9 +51,9 @@
 
 // Answer holds the decoded headers of an endpoint's answer.
 type Answer struct {
-	// Signed reports whether the answer carries a signature of the endpoint, which
+	// Signature is the endpoint's signature of the answer; empty if it has none. It
 	// need not be verified. A 2xx answer without one counts as failed.
-	Signed bool
+	Signature string
 	// NotRun means that the endpoint did not run the request and will not run it.
 	NotRun bool
 	// Misdirected means that the endpoint at the address is not the one the
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -180,8 +180,8 @@
 	return a.Endpoint == b.Endpoint && a.PerSecond == b.PerSecond
 }
 
-// millisPerUnit is the number of thousandths, in which limits are sent, in one request per second.
-const millisPerUnit = 1000
+// limitScale is the number of units of Digest.limit_millis in one request per second.
+const limitScale = 1000
 
 // encode returns the message for a digest. Negative amounts become 0.
 func (e *Exchange) encode(digest placement.PeerDigest, confirmed confirmation.Confirmation, listedPeers []netip.Addr) *pb.Digest {
@@ -213,7 +213,7 @@
 	}
 	for _, l := range digest.Limits {
 		d.LimitedEndpoint = append(d.LimitedEndpoint, l.Endpoint)
-		d.LimitMillis = append(d.LimitMillis, int64(math.Round(max(l.PerSecond, -1)*millisPerUnit)))
+		d.LimitMillis = append(d.LimitMillis, int64(math.Round(max(l.PerSecond, -1)*limitScale)))
 		d.LimitAge = append(d.LimitAge, uint32(max(l.Age.Milliseconds(), 0)))
 	}
 	for _, address := range listedPeers {
@@ -312,7 +312,7 @@
 	}
 	for i, endpoint := range d.LimitedEndpoint {
 		digest.Limits = append(digest.Limits, placement.PeerLimit{
-			Endpoint: endpoint, PerSecond: float64(d.LimitMillis[i]) / millisPerUnit, Age: time.Duration(d.LimitAge[i]) * time.Millisecond,
+			Endpoint: endpoint, PerSecond: float64(d.LimitMillis[i]) / limitScale, Age: time.Duration(d.LimitAge[i]) * time.Millisecond,
 		})
 	}
 	return digest, true
--- a/internal/placement/requestlimit.go
+++ b/internal/placement/requestlimit.go
@@ -29,11 +29,11 @@
 	// limitTolerance is the ratio of the requests that an endpoint may have got in the
 	// last window to its quota above which it gets no more until they are a window ago.
 	limitTolerance = 1.2
-	// sentMargin is added to this process's requests in the last window to estimate those
-	// of each other process.
+	// sentMargin is the number of requests in the last window by which each process may have
+	// sent more than this one.
 	sentMargin = 2
-	// joinTime is how long after its first call of SetProcesses a process sends nothing to endpoints with a
-	// limit, because it doesn't know all others yet.
+	// joinTime is how long after its first call of SetProcesses a process sends nothing
+	// to endpoints with a limit, because it doesn't know all others yet.
 	joinTime = 4 * time.Second
 	// endedLimitAge is how long the end of a limit is announced to peers.
 	endedLimitAge = 10 * time.Second
@@ -48,8 +48,7 @@
 	perSecond float64
 	seenAt    domain.Instant // arrival, here or at a peer, of the last answer that confirmed the limit or its absence
 	holdUntil domain.Instant // no request is sent before this time
-
-	own statedLimit
+	own       statedLimit
 }
 
 // statedLimit is what an endpoint's last answer to this process said of its limit.
@@ -178,11 +177,11 @@
 	if old.named && old.perSecond == perSecond {
 		return false
 	}
-	sent := (s.sentSince(now.Add(-limitWindow)) + sentMargin) * (len(t.otherProcesses) + 1)
+	sentByAll := (s.sentSince(now.Add(-limitWindow)) + sentMargin) * (len(t.otherProcesses) + 1)
 	if old.named {
-		sent = old.quota()
+		sentByAll = old.quota()
 	}
-	if float64(sent) > limitTolerance*float64(s.limit.quota()) {
+	if float64(sentByAll) > limitTolerance*float64(s.limit.quota()) {
 		s.limit.holdUntil = now.Add(s.limit.window())
 	}
 	return true
--- a/internal/placement/requestlimit_test.go
+++ b/internal/placement/requestlimit_test.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// A process that has sent an endpoint little doesn't know what its peers have sent, and waits
+// too.
+func TestLimitBelowRequestsOfPeers(t *testing.T) {
+	table, now := newJoinedTable(1, 1, 2, 3, 4)
+	limits := []PeerLimit{{Endpoint: table.byID["e00"].hash(), PerSecond: 1.7}}
+	assert.Equal(t, len(table.PeerDigest(now, "a", PeerDigest{Limits: limits})), 1)
+	assert.Assert(t, table.Pick(now.Add(limitWindow-time.Millisecond), plainQuery()) == nil)
+	assert.Assert(t, table.Pick(now.Add(limitWindow), plainQuery()) != nil)
+}
+
 // A process that doesn't know its peers yet sends nothing to an endpoint with a limit.
 func TestJoiningProcessWaits(t *testing.T) {
 	table := newTable(2)
