--- a/internal/replay/doc.go
+++ b/internal/replay/doc.go
@@ -5,7 +5,8 @@
 // The requests belong to two sets of three workloads, whose parameters are constants modelled
 // on recorded load, and arrive at random. Time is simulated, and the same seed gives
 // the same decisions. Each test checks the effect of one placement rule on targets
-// met, requests served or tokens prefilled. All its code is in test files.
+// met, requests served or tokens prefilled, or that engines get no more requests than
+// the limits that they name. All its code is in test files.
 //
 // Terms of internal/placement that the tests use: the affinity endpoints of a session
 // are the two engines, primary and secondary, that its requests prefer because the
