--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,56 @@
 	}
 	assert.Assert(t, taken > 0 && taken <= 80, "%d retries", taken)
 }
+
+// Restarts of processes, in series or all at once, must not add to the retries of all
+// processes in any window: what a process used before its end counts.
+func TestRetriesOfRestartedProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts, processes, largeExtra = 5, 6, 58.0
+		budgets := make([]*Budget, hosts)
+		restart := func(host int) { budgets[host] = New(window, ratio, largeExtra) }
+		for i := range budgets {
+			restart(i)
+		}
+		var now domain.Instant
+		var requests, retries []domain.Instant
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "pause")))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1:
+				restart(rapid.IntRange(0, hosts-1).Draw(t, "restarted"))
+			case 2:
+				for i := range budgets {
+					restart(i)
+				}
+			case 3, 4, 5:
+				for _, b := range budgets {
+					for b.TakeRetry(now, processes) {
+						retries = append(retries, now)
+					}
+				}
+			}
+			for i, b := range budgets {
+				for range rapid.IntRange(0, 20).Draw(t, fmt.Sprintf("requests of %d", i)) {
+					b.RecordRequest(now)
+					requests = append(requests, now)
+				}
+			}
+			from := now.Add(-window)
+			retried, allowed := count(retries, from), allowance(requests, from, largeExtra)
+			assert.Assert(t, float64(retried) <= allowed, "%d retries in the window that ends at %s, allowed %.1f", retried, time.Duration(now), allowed)
+		}
+	})
+}
+
+// allowance returns the retries that are allowed in the window that begins at a time: the
+// extra, and the ratio of the requests in it, in the window before it or in the one that
+// begins half a window earlier, whichever has most.
+func allowance(requests []domain.Instant, from domain.Instant, extra float64) float64 {
+	most := 0
+	for _, shift := range []time.Duration{0, window / 2, window} {
+		begin := from.Add(-shift)
+		most = max(most, count(requests, begin)-count(requests, begin.Add(window)))
+	}
+	return ratio*float64(most) + extra
+}
