Retry budget: peers out of reach keep their share of the extra for a minute

Cause: the extra was divided by the peers that may be running, which forget one out of reach after 8 s. Each side of a partition of a site with over 20 gateways then divided by its own number, at least six, and all together took up to four times the extra. The request limits of endpoints count peers for a minute (docs/incidents/2026-12-04-limit.md); the budget did not. Change: it counts the same peers, and the seeds. TestPartitionKeepsProcessCount; the count was not there before. Open: a partition of over a minute; a gateway that starts while it is cut off knows only its seeds.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -290,9 +290,8 @@
 
 // takeRetry takes a retry from the budget of a service and reports whether one was left.
 func (g *Gateway) takeRetry(service string) bool {
-	// The known peers, this gateway and one more: a gateway that was replaced
-	// moments ago may have used its share in the same window.
-	gateways := max(g.peers.PeerCount()+2, minGateways)
+	// One more may have started a moment ago.
+	gateways := max(g.peers.ProcessCount()+1, minGateways)
 	g.mu.Lock()
 	taken := g.retryBudget(service).TakeRetry(g.now(), gateways)
 	g.mu.Unlock()
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -128,6 +128,14 @@
 	return e.members.PeerCount()
 }
 
+// ProcessCount returns the number of processes, this one included, that may be running or
+// were a while ago.
+func (e *Exchange) ProcessCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.members.ProcessCount()
+}
+
 func (e *Exchange) now() domain.Instant { return domain.Instant(time.Since(e.started)) }
 
 // expire removes the digests of expired peers from the handler and passes changes of the
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -170,6 +170,19 @@
 // PeerCount returns the number of peers that may be running.
 func (m *Members) PeerCount() int { return len(m.members) }
 
+// ProcessCount returns the number of processes, this one included, that may be running or
+// were less than departedMemory ago.
+func (m *Members) ProcessCount() int {
+	known := m.Remembered()
+	count := 1 + len(known)
+	for _, seed := range m.seeds {
+		if !slices.Contains(known, seed) {
+			count++
+		}
+	}
+	return count
+}
+
 // Remembered returns the peers that may be running, and those that were removed less than
 // departedMemory ago.
 func (m *Members) Remembered() []netip.Addr {
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -129,6 +129,26 @@
 	assert.DeepEqual(t, m.Remembered(), []netip.Addr{addr(3), addr(4)}, addrComparer())
 }
 
+// A process that loses contact with all others goes on counting them for departedMemory, so
+// that the shares of a divided limit don't grow on both sides of a partition.
+func TestPartitionKeepsProcessCount(t *testing.T) {
+	const peerCount = 24
+	m := NewMembers(addr(1), []netip.Addr{addr(2), addr(99)})
+	for i := range byte(peerCount) {
+		m.RecordDigest(instant(0), addr(2+i), 1, 1, nil)
+	}
+	now := instant(0)
+	for ; now < instant(0).Add(departedMemory); now = now.Add(time.Second) {
+		m.Expire(now)
+		assert.Equal(t, m.ProcessCount(), 1+peerCount+1, "at %s", time.Duration(now))
+	}
+	assert.Equal(t, m.PeerCount(), 0)
+	for ; now < instant(0).Add(2*departedMemory); now = now.Add(time.Second) {
+		m.Expire(now)
+	}
+	assert.Equal(t, m.ProcessCount(), 1+2, "only the seeds are left")
+}
+
 // isolated is time for the digests of isolated peers to expire.
 const isolated = domain.Instant(2 * isolationGracePeriod)
 
