Soak: retries of all gateways against the budget, restarts in series, replicas that all refuse

The soak counts requests that reached a replica again in any window of 10 s, whatever was restarted, cut or suspended.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -49,6 +49,7 @@
 	gateways      []*process
 	peerIPs       []string // one for each gateway, as all use the same port
 	configVersion int
+	retryRatio    float64 // setting of the gateways
 
 	limits []*limitPeriod
 
@@ -99,8 +100,8 @@
 
 // startCluster starts the stand-ins and the gateways, and waits until all gateways
 // are ready. The processes end with the test.
-func startCluster(t *testing.T, program string, gateways, replicas int) *cluster {
-	c := &cluster{t: t, program: program, store: metastore.New(), revoked: make(map[string]time.Time), registrations: make(map[string][]byte)}
+func startCluster(t *testing.T, program string, gateways, replicas int, retryRatio float64) *cluster {
+	c := &cluster{t: t, program: program, retryRatio: retryRatio, store: metastore.New(), revoked: make(map[string]time.Time), registrations: make(map[string][]byte)}
 	c.storeServer = httptest.NewServer(c.store)
 	t.Cleanup(c.storeServer.Close)
 	c.relay(strings.TrimPrefix(c.storeServer.URL, "http://"))
@@ -151,15 +152,14 @@
 }
 
 // newProcess writes the settings file of gateway i and returns its process, not yet
-// started. The setting revoke_ms equals maxRevokeDelay. The retry budget in a window of
-// 10 s is 80 retries of all gateways plus 0.2 per request.
+// started. The setting revoke_ms equals maxRevokeDelay.
 func (c *cluster) newProcess(i int) *process {
 	g := &process{front: loopback.Address(), ready: loopback.Address(), peerIP: c.peerIPs[i]}
 	file := map[string]any{
 		"node_name": fmt.Sprintf("gateway-%d", i), "ip": g.peerIP, "zone": "a",
 		"listen": map[string]string{"front": g.front, "ready": g.ready}, "internal_ports": []int{peerPort, peerPort}, "seeds": c.peerAddresses(),
 		"limits":   map[string]any{"memory_mb": 128},
-		"bounds":   map[string]any{"grace_s": 5, "revoke_ms": 5000, "strict_revoke": true, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 80},
+		"bounds":   map[string]any{"grace_s": 5, "revoke_ms": 5000, "strict_revoke": true, "retry_budget_ratio": c.retryRatio, "budget_window_s": retryWindow.Seconds(), "budget_extra": retryExtra},
 		"provider": map[string]any{"address": c.relays[0].Address()},
 	}
 	data, err := json.Marshal(file)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -28,6 +28,17 @@
 		c.replica(rng).SetFault(replicaFaults[rng.IntN(len(replicaFaults))])
 	}},
 	{"replica fault cleared", func(c *cluster, rng *rand.Rand) { c.replica(rng).SetFault(replica.NoFault) }},
+	{"replica faults cleared", func(c *cluster, _ *rand.Rand) {
+		for _, r := range c.replicas {
+			r.SetFault(replica.NoFault)
+		}
+	}},
+	{"all replicas refuse or fail", func(c *cluster, rng *rand.Rand) {
+		fault := []replica.Fault{replica.NotRun, replica.Error, replica.Reset}[rng.IntN(3)]
+		for _, r := range c.replicas {
+			r.SetFault(fault)
+		}
+	}},
 	{"replica delay set", func(c *cluster, rng *rand.Rand) {
 		c.replica(rng).SetResponseDelay(time.Duration(rng.IntN(200)) * time.Millisecond)
 	}},
@@ -43,6 +54,14 @@
 		g.stopped = false
 		c.start(g)
 	}},
+	{"gateways restarted in series", restartInSeries},
+	{"gateways restarted in series beside refusals", func(c *cluster, rng *rand.Rand) {
+		for _, r := range c.replicas {
+			r.SetFault(replica.NotRun)
+		}
+		time.Sleep(time.Duration(500+rng.IntN(500)) * time.Millisecond)
+		restartInSeries(c, rng)
+	}},
 	{"gateway restarted by SIGTERM", func(c *cluster, rng *rand.Rand) {
 		g := c.randomGateway(rng)
 		c.resume(g)
@@ -103,6 +122,19 @@
 	}},
 }
 
+// restartInSeries kills and starts all gateways, three times.
+func restartInSeries(c *cluster, rng *rand.Rand) {
+	for range 3 {
+		for _, g := range c.gateways {
+			c.kill(g)
+			g.stopped = false
+			c.start(g)
+			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(300+rng.IntN(500)) * time.Millisecond)
+	}
+}
+
 // temporaryKey returns the API key that is removed next. Temporary keys are passing-0,
 // passing-1 and so on. A removed key is never added again.
 func (c *cluster) temporaryKey() string {
