--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -58,6 +58,7 @@
 	delay      time.Duration
 	executions []Execution
 	accepted   int
+	version    string  // named in the data of each stream event; empty for none
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
 }
@@ -112,6 +113,14 @@
 	r.limit = perSecond
 }
 
+// SetVersion sets the version of the replica's software, which it writes into the data of each
+// event of a stream. The replica does not check at which version a stream began.
+func (r *Replica) SetVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+}
+
 // Arrivals returns the requests for this replica so far, oldest first.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -249,12 +258,18 @@
 		}
 		lastID = n
 	}
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
+	if version != "" {
+		version = " at " + version
+	}
 	id := request.Header.Get("X-Attempt-Id")
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n%sContent-Type: text/event-stream\r\n"+
 		"Transfer-Encoding: chunked\r\n\r\n", id, r.ID, limit)
 	for n := lastID + 1; n <= streamEvents; n++ {
 		time.Sleep(delay)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", n, n, id, version)
 		if fault == TruncatedStream && n == 3 {
 			fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
 			return false
