Streams: the process behind a connection is compared with its registry entry

Cause: the version of a stream follows from the registry entry, but a request names only the identifier, which the new process has too. Change: while a service may have several versions, a resumable stream is sent on a connection only once the endpoint has said on it that its process started when the entry says; an endpoint that doesn't answer or has another start gets nothing. One call for each connection; none where entries name no start, as identifiers are not used again there. Open: an endpoint that starts again at the first other version of a service, before any gateway has read the new entry.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -52,6 +52,8 @@
 	reader    *bufio.Reader
 	reused    bool
 	idleUntil time.Time // not reused after this time
+	// Confirmed means that the endpoint's process is known to be the one in its registry entry.
+	Confirmed bool
 }
 
 // Reused reports whether an earlier exchange used the connection.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,14 @@
 	}
 	a.conn = conn
 	stop := context.AfterFunc(ctx, conn.Abort)
+	if a.needsConfirmation() {
+		if err := a.confirmProcess(); err != nil {
+			stop()
+			g.pool.Discard(a.key, conn)
+			c.cause = err.Error()
+			return attemptNotSent, placement.ResultUnreachable
+		}
+	}
 	end, result, answer := a.exchange()
 	if stop() && answer != nil {
 		g.pool.Put(a.key, conn, *answer)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -82,6 +82,10 @@
 	// CopyAnswerHeaders copies the headers of an endpoint's answer that are
 	// forwarded to the caller.
 	CopyAnswerHeaders(dst, src http.Header)
+	// ReportRequest returns the bytes of a request by which an endpoint says when it has started.
+	ReportRequest() []byte
+	// ReadReport decodes the answer: the Unix time of the start in milliseconds.
+	ReadReport(body []byte) (int64, error)
 }
 
 // Source follows the configuration and the endpoint registry and reports their
--- /dev/null
+++ b/internal/gateway/endpointprocess.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/placement"
+	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
+)
+
+const (
+	// reportTimeout limits the time for an endpoint's report of itself.
+	reportTimeout = 500 * time.Millisecond
+	// maxReportBytes limits an endpoint's report of itself.
+	maxReportBytes = 1 << 20
+)
+
+// needsConfirmation reports whether it has to be made sure that the process behind a connection is
+// the one in the registry entry: the software version of a stream follows from the entry, which
+// may be older than the process. Endpoints without a start never start again under their
+// identifier.
+func (a *attempt) needsConfirmation() bool {
+	g, e := a.gateway, a.ticket.Endpoint
+	if !a.call.route.Resumable || e.Start == 0 || a.conn.Confirmed {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state, _ := g.serviceVersions.State(g.now(), placement.ServiceHash(e.Service), g.streamLifetime(), !g.registryLost)
+	return state != streamversions.StateSole
+}
+
+// confirmProcess asks the endpoint when its process has started and compares that with the
+// registry entry. After an error the connection can't be used.
+func (a *attempt) confirmProcess() error {
+	if err := a.conn.Write(a.gateway.dialect.ReportRequest()); err != nil {
+		return err
+	}
+	a.conn.SetReadDeadline(time.Now().Add(reportTimeout))
+	response, err := a.conn.ReadHead(http.MethodGet, func(http.Header) bool { return true }) //nolint:bodyclose // the connection is discarded unless the body is read to its end
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return errors.Wrapf(err, "step=read report peer=%s", a.key.Address)
+	}
+	if response.StatusCode != http.StatusOK || response.Close {
+		return errors.Newf("step=read report peer=%s: status %d, closes %t", a.key.Address, response.StatusCode, response.Close)
+	}
+	start, err := a.gateway.dialect.ReadReport(body)
+	if err != nil {
+		return errors.Wrapf(err, "peer=%s", a.key.Address)
+	}
+	if start != a.key.Start {
+		return errors.Newf("step=confirm process peer=%s: started at %d, registered %d", a.key.Address, start, a.key.Start)
+	}
+	a.conn.SetReadDeadline(time.Time{})
+	a.conn.Confirmed = true
+	return nil
+}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -200,7 +200,7 @@
 // register writes a replica's row to the store, with the address of its relay.
 func (c *cluster) register(r *replica.Replica, state string) {
 	proxy := c.relays[1+slices.Index(c.replicas, r)]
-	row := map[string]any{"service": "app", "address": proxy.Address(), "zone": "a", "slots": 8, "state": state, "born": 1}
+	row := map[string]any{"service": "app", "address": proxy.Address(), "zone": "a", "slots": 8, "state": state, "born": replica.FirstBorn}
 	data, err := json.Marshal(row)
 	assert.NilError(c.t, err)
 	c.registrations[r.ID] = data
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -35,6 +35,9 @@
 	MalformedResponse Fault = "wrong-reply" // sends bytes that are not an HTTP response and closes the connection
 )
 
+// FirstBorn is the start of a replica's process, in Unix milliseconds, until Restart.
+const FirstBorn = 1
+
 // streamEvents is the number of events in a stream.
 const streamEvents = 5
 
@@ -58,6 +61,8 @@
 	delay      time.Duration
 	executions []Execution
 	accepted   int
+	born       int64 // Unix time of the process's start in milliseconds
+	conns      map[net.Conn]bool
 	version    string  // named in the data of each stream event; empty for none
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
@@ -77,7 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("step=listen: %w", err)
 	}
-	r := &Replica{ID: id, listener: listener, delay: time.Millisecond}
+	r := &Replica{ID: id, listener: listener, delay: time.Millisecond, born: FirstBorn, conns: make(map[net.Conn]bool)}
 	go r.acceptLoop()
 	return r, nil
 }
@@ -121,6 +126,17 @@
 	r.version = version
 }
 
+// Restart plays a crash of the replica and another start under its ID and address: it closes the
+// open connections. The new process tells the time of its start, in Unix milliseconds.
+func (r *Replica) Restart(version string, born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.born = version, born
+	for conn := range r.conns {
+		closeQuietly(conn)
+	}
+}
+
 // Arrivals returns the requests for this replica so far, oldest first.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -150,13 +166,19 @@
 		}
 		r.mu.Lock()
 		r.accepted++
+		r.conns[conn] = true
 		r.mu.Unlock()
 		go r.serveConn(conn)
 	}
 }
 
 func (r *Replica) serveConn(conn net.Conn) {
-	defer closeQuietly(conn)
+	defer func() {
+		closeQuietly(conn)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -181,6 +203,10 @@
 		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
 		return true
 	}
+	if request.URL.Path == "/api/report" {
+		r.writeReport(conn)
+		return true
+	}
 	limit := r.recordArrival(request)
 	if fault == NotRun {
 		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, limit)
@@ -213,6 +239,14 @@
 	return r.writePlain(conn, id, limit, fault)
 }
 
+// writeReport writes the replica's report of itself.
+func (r *Replica) writeReport(conn net.Conn) {
+	r.mu.Lock()
+	body := fmt.Sprintf(`{"stage":"both","born":%d}`, r.born)
+	r.mu.Unlock()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // recordArrival records a request and returns the header line of the limit that its response
 // names; empty if there is none.
 func (r *Replica) recordArrival(request *http.Request) string {
