Soak: replicas of two versions, clients that take streams up, replicas that start again at another version

A caller whose resumable stream breaks off takes it up at a random gateway up to three times. The stand-in's fault that cuts a stream now does so in the third event that it writes, not in event 3: a stream that went on after event 2 never got any further.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -33,6 +33,9 @@
 	received      time.Time // end of the response
 	limitedBy     string    // signature of the replica that named a limit in the response; empty if none did
 	status        int
+	resumes       string // ID of the call that began the stream which this one takes up; empty if it takes up none
+	after         int    // last event that the caller has of that stream
+	served        int    // registered replicas of the version that began that stream
 	body          string
 	err           error // no response, or an incomplete one
 }
@@ -73,8 +76,12 @@
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
 				result := c.call(client, rng, fmt.Sprintf("c%d-%d", i, n))
+				made := []call{result}
+				if result.path == resumablePath && !succeeded(result) {
+					made = append(made, c.takeUp(client, rng, result)...)
+				}
 				s.mu.Lock()
-				s.calls = append(s.calls, result)
+				s.calls = append(s.calls, made...)
 				s.mu.Unlock()
 				sleep(ctx, time.Duration(rng.IntN(40))*time.Millisecond)
 			}
@@ -90,12 +97,12 @@
 }
 
 // requestPaths has one path for each route of cluster.configure.
-var requestPaths = []string{"/once/x", "/safe/x", "/stream/x", "/stream/resume/x"}
+var requestPaths = []string{"/once/x", "/safe/x", "/stream/x", resumablePath}
 
 // call sends one call to a random gateway and path. One call in five uses a
 // temporary key: the current one, or the one removed last.
 func (c *cluster) call(client *http.Client, rng *rand.Rand, id string) call {
-	result := call{id: id, path: requestPaths[rng.IntN(len(requestPaths))], key: permanentKey, sent: time.Now()}
+	result := call{id: id, path: requestPaths[rng.IntN(len(requestPaths))], key: permanentKey}
 	if rng.IntN(5) == 0 {
 		result.key = c.temporaryKey()
 		if rng.IntN(2) == 0 {
@@ -105,20 +112,31 @@
 		}
 	}
 	result.gateway = rng.IntN(len(c.gateways))
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[result.gateway].front+result.path, strings.NewReader("body of "+id))
+	c.send(client, &result)
+	return result
+}
+
+// send sends a call to its gateway and adds the response to it.
+func (c *cluster) send(client *http.Client, result *call) {
+	result.sent = time.Now()
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[result.gateway].front+result.path, strings.NewReader("body of "+result.id))
 	if err != nil {
 		result.err = err
-		return result
+		return
 	}
 	request.Host = "app.example"
 	request.Header.Set(gatewayHeader, strconv.Itoa(result.gateway))
-	for name, values := range (dialect.Dialect{}).CallerHeaders(id, result.key, callDeadline) {
+	for name, values := range (dialect.Dialect{}).CallerHeaders(result.id, result.key, callDeadline) {
 		request.Header[name] = values
 	}
+	if result.resumes != "" {
+		request.Header.Set("Resumes", result.resumes)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(result.after))
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		result.err = err
-		return result
+		return
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
@@ -126,7 +144,6 @@
 	if answer := (dialect.Dialect{}).ReadAnswer(response.StatusCode, response.Header); !math.IsInf(answer.RequestLimit, 1) {
 		result.limitedBy = answer.Signature
 	}
-	return result
 }
 
 // checkCalls checks the gateway's guarantees for all calls against the requests that
@@ -164,7 +181,7 @@
 	if refused(result) && executions > 0 && !retryable {
 		c.t.Errorf("%s %s was executed, but its caller got 503", result.id, result.path)
 	}
-	if succeeded(result) && result.body != expectedBody(result) {
+	if succeeded(result) && withoutVersions(result.body) != expectedBody(result) {
 		c.t.Errorf("%s %s got %q", result.id, result.path, result.body)
 	}
 	c.mu.Lock()
@@ -176,13 +193,13 @@
 }
 
 // expectedBody returns the body of the complete response to a call, as package replica
-// writes it: "whole ID", or a stream of 5 events.
+// writes it: "whole ID", or the rest of a stream of 5 events, without versions.
 func expectedBody(result call) string {
 	if !strings.HasPrefix(result.path, "/stream/") {
 		return "whole " + result.id
 	}
 	var b strings.Builder
-	for n := 1; n <= 5; n++ {
+	for n := result.after + 1; n <= 5; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", n, n, result.id)
 	}
 	return b.String()
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -53,7 +53,12 @@
 
 	limits []*limitPeriod
 
+	mixed bool // whether replicas have several software versions
+
 	mu               sync.Mutex
+	versions         map[string]string // software version of each replica, by its ID
+	starts           map[string]int64  // start of each replica's process in Unix milliseconds, by its ID
+	states           map[string]string // state in each replica's row, by its ID
 	log              []string
 	nextTemporaryKey int                  // number of the temporary key that is removed next
 	revoked          map[string]time.Time // time of removal by key
@@ -100,8 +105,9 @@
 
 // startCluster starts the stand-ins and the gateways, and waits until all gateways
 // are ready. The processes end with the test.
-func startCluster(t *testing.T, program string, gateways, replicas int, retryRatio float64) *cluster {
-	c := &cluster{t: t, program: program, retryRatio: retryRatio, store: metastore.New(), revoked: make(map[string]time.Time), registrations: make(map[string][]byte)}
+func startCluster(t *testing.T, program string, gateways, replicas int, retryRatio float64, mixed bool) *cluster {
+	c := &cluster{t: t, program: program, retryRatio: retryRatio, store: metastore.New(), revoked: make(map[string]time.Time),
+		versions: make(map[string]string), starts: make(map[string]int64), states: make(map[string]string), mixed: mixed, registrations: make(map[string][]byte)}
 	c.storeServer = httptest.NewServer(c.store)
 	t.Cleanup(c.storeServer.Close)
 	c.relay(strings.TrimPrefix(c.storeServer.URL, "http://"))
@@ -111,6 +117,11 @@
 		t.Cleanup(r.Stop)
 		c.replicas = append(c.replicas, r)
 		c.relay(r.Address())
+		c.versions[r.ID], c.starts[r.ID] = softwareVersions[0], replica.FirstBorn
+		if mixed {
+			c.versions[r.ID] = softwareVersions[i%len(softwareVersions)]
+		}
+		r.SetVersion(c.versions[r.ID])
 		c.register(r, "ready")
 	}
 	c.configure(permanentKey)
@@ -200,7 +211,10 @@
 // register writes a replica's row to the store, with the address of its relay.
 func (c *cluster) register(r *replica.Replica, state string) {
 	proxy := c.relays[1+slices.Index(c.replicas, r)]
-	row := map[string]any{"service": "app", "address": proxy.Address(), "zone": "a", "slots": 8, "state": state, "born": replica.FirstBorn}
+	c.mu.Lock()
+	c.states[r.ID] = state
+	row := map[string]any{"service": "app", "address": proxy.Address(), "zone": "a", "slots": 8, "state": state, "born": c.starts[r.ID], "version": c.versions[r.ID]}
+	c.mu.Unlock()
 	data, err := json.Marshal(row)
 	assert.NilError(c.t, err)
 	c.registrations[r.ID] = data
@@ -209,6 +223,9 @@
 
 // unregister removes a replica's row from the store.
 func (c *cluster) unregister(r *replica.Replica) {
+	c.mu.Lock()
+	delete(c.states, r.ID)
+	c.mu.Unlock()
 	delete(c.registrations, r.ID)
 	c.store.Remove("servers", r.ID)
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -42,6 +42,12 @@
 	{"replica delay set", func(c *cluster, rng *rand.Rand) {
 		c.replica(rng).SetResponseDelay(time.Duration(rng.IntN(200)) * time.Millisecond)
 	}},
+	{"replica restarted", func(c *cluster, rng *rand.Rand) { c.restartReplica(c.replica(rng), rng) }},
+	{"replicas cut their streams", func(c *cluster, _ *rand.Rand) {
+		for _, r := range c.replicas {
+			r.SetFault(replica.TruncatedStream)
+		}
+	}},
 	{"replica draining", func(c *cluster, rng *rand.Rand) { c.register(c.replica(rng), "draining") }},
 	{"replica row removed", func(c *cluster, rng *rand.Rand) { c.unregister(c.replica(rng)) }},
 	{"replica ready", func(c *cluster, rng *rand.Rand) { c.register(c.replica(rng), "ready") }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,7 +37,7 @@
 // until faultDuration ends, after which the faults are cleared.
 func runSeed(t *testing.T, program string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	c := startCluster(t, program, 2+rng.IntN(2), 2+rng.IntN(3), retryRatios[rng.IntN(len(retryRatios))])
+	c := startCluster(t, program, 2+rng.IntN(2), 2+rng.IntN(3), retryRatios[rng.IntN(len(retryRatios))], rng.IntN(2) == 0)
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
 	callers := startCallers(ctx, c, rng.Uint64())
@@ -56,6 +56,7 @@
 	c.checkCalls(calls)
 	c.checkLimits(calls)
 	c.checkRetries(calls)
+	c.checkStreams(calls)
 	c.logf("seed %d: %d calls, %d succeeded, %d refused", seed, len(calls), countCalls(calls, succeeded), countCalls(calls, refused))
 	assert.Assert(t, countCalls(calls, succeeded) > 0, "no call succeeded")
 	// Every gateway must become ready once the faults are cleared.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -26,7 +26,7 @@
 	NotRun            Fault = "not-run"     // responds 503 with a header that says that the request was not executed
 	Reset             Fault = "reset"       // executes the request and resets the connection
 	Error             Fault = "error"       // executes the request and responds 500 to a plain one; streams are unaffected
-	TruncatedStream   Fault = "cut-stream"  // closes the connection in the middle of the third event of a stream
+	TruncatedStream   Fault = "cut-stream"  // closes the connection in the middle of the third event that it writes
 	ExtraResponse     Fault = "extra"       // sends an unsolicited second response after a plain one
 	ForeignResponse   Fault = "foreign"     // first sends a response to another request
 	MissingLength     Fault = "unframed"    // sends a plain response without Content-Length and closes the connection
@@ -304,7 +304,7 @@
 	for n := lastID + 1; n <= streamEvents; n++ {
 		time.Sleep(delay)
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", n, n, id, version)
-		if fault == TruncatedStream && n == 3 {
+		if fault == TruncatedStream && n == lastID+3 {
 			fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
 			return false
 		}
