Soak: a replica that starts again names its limit anew; streams are cut from the start where versions are mixed

Trace: the replica started again 3.3 s and 1.3 s before the end of the window; the gateways discard what they know of a process that has ended, and the check went on counting. A new period begins with the new process, after which the check is as strict as for any limit that is newly named.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 )
 
 var (
@@ -45,6 +47,10 @@
 		// Limits that are set later seldom last long enough.
 		c.setLimit(0, 0.5+4*rng.Float64())
 	}
+	if c.mixed {
+		// Streams that are cut later are often few, as callers are refused.
+		c.setFaults(replica.TruncatedStream)
+	}
 	for ctx.Err() == nil {
 		a := actions[rng.IntN(len(actions))]
 		c.logf("action: %s", a.name)
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -97,6 +97,13 @@
 	c.mu.Unlock()
 	c.logf("%s starts again at %s", r.ID, version)
 	r.Restart(version, start)
+	for _, p := range c.limits {
+		if c.replicas[p.replica] == r && p.to.IsZero() {
+			// Gateways know nothing of the new process's limit before it names it.
+			c.setLimit(p.replica, p.perSecond)
+			break
+		}
+	}
 	time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 	c.register(r, "ready")
 }
