--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -115,7 +115,7 @@
 // askPeers asks peers at which version a stream began. It returns the answers that came in
 // time and the number of peers that were asked.
 func (g *Gateway) askPeers(ctx context.Context, stream streamversions.Stream, service string) (answers []streamversions.Answer, asked int) {
-	targets, awaited := chooseStreamPeers(stream, g.peers.Known(), streamversions.MaxAsked), make(map[netip.Addr]bool)
+	targets, awaited := newStreamPeers(g.peers.Known()).choose(stream, streamversions.MaxAsked), make(map[netip.Addr]bool)
 	if len(targets) == 0 {
 		return nil, 0
 	}
@@ -165,32 +165,41 @@
 	g.streamQuestions[stream] = open
 }
 
-// streamKeepers returns the peers that are told of a stream: of those in reach, or of all known
-// ones while none has been heard.
-func (g *Gateway) streamKeepers(stream streamversions.Stream) []netip.Addr {
-	candidates := g.peers.Alive()
-	if len(candidates) == 0 {
-		candidates = g.peers.Known()
-	}
-	return chooseStreamPeers(stream, candidates, streamversions.Copies)
+// streamPeers are peers among which those that keep or are asked for a stream's record are chosen.
+type streamPeers struct {
+	numbers   []uint64
+	addresses map[uint64]netip.Addr
 }
 
-// chooseStreamPeers returns at most n of the peers, those that keep a stream's record first.
-func chooseStreamPeers(stream streamversions.Stream, candidates []netip.Addr, n int) []netip.Addr {
-	addresses := make(map[uint64]netip.Addr)
-	var numbers []uint64
+func newStreamPeers(candidates []netip.Addr) streamPeers {
+	p := streamPeers{addresses: make(map[uint64]netip.Addr, len(candidates))}
 	for _, peer := range candidates {
 		number := processNumber(peer)
-		addresses[number] = peer
-		numbers = append(numbers, number)
+		p.addresses[number] = peer
+		p.numbers = append(p.numbers, number)
 	}
+	return p
+}
+
+// choose returns at most n of the peers, those that keep a stream's record first.
+func (p streamPeers) choose(stream streamversions.Stream, n int) []netip.Addr {
 	var chosen []netip.Addr
-	for _, number := range streamversions.Choose(stream, numbers, n) {
-		chosen = append(chosen, addresses[number])
+	for _, number := range streamversions.Choose(stream, p.numbers, n) {
+		chosen = append(chosen, p.addresses[number])
 	}
 	return chosen
 }
 
+// streamKeepers returns the peers that may be told of streams: those in reach, or all known ones
+// while none has been heard.
+func (g *Gateway) streamKeepers() streamPeers {
+	candidates := g.peers.Alive()
+	if len(candidates) == 0 {
+		candidates = g.peers.Known()
+	}
+	return newStreamPeers(candidates)
+}
+
 // recordStream records the version of the endpoint that sends the events of a resumable stream, before
 // the first of them is forwarded. Peers are told of it, unless the service has had no other
 // version for as long as a stream can live.
@@ -221,9 +230,9 @@
 	if len(records) == 0 {
 		return
 	}
-	byPeer := make(map[netip.Addr][]streamversions.Record)
+	keepers, byPeer := g.streamKeepers(), make(map[netip.Addr][]streamversions.Record)
 	for _, r := range records {
-		for _, peer := range g.streamKeepers(r.Stream) {
+		for _, peer := range keepers.choose(r.Stream, streamversions.Copies) {
 			byPeer[peer] = append(byPeer[peer], r)
 		}
 	}
@@ -237,9 +246,10 @@
 	g.mu.Lock()
 	records := g.streams.All(g.now())
 	g.mu.Unlock()
+	keepers := g.streamKeepers()
 	var list []streamversions.Record
 	for _, r := range records {
-		if slices.Contains(g.streamKeepers(r.Stream), peer) {
+		if slices.Contains(keepers.choose(r.Stream, streamversions.Copies), peer) {
 			list = append(list, r)
 		}
 	}
--- a/internal/peers/bench_test.go
+++ b/internal/peers/bench_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/confirmation"
+	"github.com/dunlinpulley/dunlinpulley/internal/peers/pb"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
+	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
 )
 
 // BenchmarkDigest reports the size of a digest in bytes by the number of endpoints
@@ -34,3 +37,27 @@
 		})
 	}
 }
+
+// BenchmarkStreamMessage reports the size in bytes of a datagram that tells of streams, asks for
+// one, or answers.
+func BenchmarkStreamMessage(b *testing.B) {
+	record := streamversions.Record{Stream: 1 << 62, Version: 1 << 31, Left: 15 * time.Second}
+	answer := StreamAnswer{Stream: 1 << 62, Answer: streamversions.Answer{Known: true, Version: 1 << 31}}
+	for name, m := range map[string]StreamMessage{
+		"told=1":   {Begun: []streamversions.Record{record}},
+		"told=10":  {Begun: slices.Repeat([]streamversions.Record{record}, 10)},
+		"asked=1":  {Asked: []StreamQuestion{{Stream: 1 << 62, Service: 1 << 31}}},
+		"answered": {Answers: []StreamAnswer{answer}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var datagram []byte
+			for range b.N {
+				var err error
+				if datagram, err = proto.Marshal(&pb.Digest{Streams: encodeStreams(m)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(datagram)), "bytes")
+		})
+	}
+}
--- a/internal/streamversions/owners.go
+++ b/internal/streamversions/owners.go
@@ -19,8 +19,16 @@
 // Choose returns at most n of the processes, those that keep a stream's record first. Each
 // process that knows the same others chooses the same.
 func Choose(stream Stream, processes []uint64, n int) []uint64 {
-	ranked := slices.Clone(processes)
 	score := func(process uint64) uint64 { return policy.Mix64(uint64(stream) ^ policy.Mix64(process)) }
-	slices.SortFunc(ranked, func(a, b uint64) int { return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b)) })
-	return ranked[:min(n, len(ranked))]
+	first := func(a, b uint64) int { return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b)) }
+	chosen := make([]uint64, 0, n+1)
+	for _, process := range processes {
+		if len(chosen) == n && first(chosen[n-1], process) < 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(chosen, process, first)
+		chosen = slices.Insert(chosen, at, process)
+		chosen = chosen[:min(n, len(chosen))]
+	}
+	return chosen
 }
