Endpoints that say that they leave get no further request

Nothing read Server-Leaving; an endpoint was used until its registry entry said draining or was gone. Change: an answer to the request that says so, but for an unsigned success and a 421, takes the endpoint out at once, for all that waits, arrives or is tried again; digests tell the other gateways, with the age. Only a later start ends it, never an entry of the same start.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,6 +125,7 @@
 	}
 	if !answer.Misdirected {
 		g.recordLimit(a.ticket, answer)
+		g.recordLeaving(a.ticket, response.StatusCode, answer)
 	}
 	if answer.NotRun {
 		return a.handleNotRun(response, answer)
@@ -268,6 +269,21 @@
 	}
 }
 
+// recordLeaving passes on to the placement table that an endpoint has said that it leaves. A
+// success without a signature is not forwarded and says nothing: it may have been spoilt.
+func (g *Gateway) recordLeaving(ticket *placement.Ticket, status int, answer Answer) {
+	if !answer.Leaving || status/100 == 2 && answer.Signature == "" {
+		return
+	}
+	g.mu.Lock()
+	changed := g.table.RecordLeaving(g.now(), ticket)
+	g.mu.Unlock()
+	if changed {
+		g.instruments.endpointsLeaving.Inc(1)
+		klog.InfoS("endpoint leaving", "endpoint", ticket.Endpoint.ID, "start", ticket.Endpoint.Start, "peer", "")
+	}
+}
+
 // end reports the result of an attempt to the placement table.
 func (g *Gateway) end(ticket *placement.Ticket, result placement.Result) {
 	g.mu.Lock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -67,6 +67,8 @@
 	// RequestLimit is the number of requests per second that the endpoint takes from all
 	// gateways together: +Inf if it names no limit, NaN if what it names is invalid.
 	RequestLimit float64
+	// Leaving means that the endpoint has said that it leaves: it takes no further requests.
+	Leaving bool
 }
 
 // Dialect encodes and decodes the headers that callers and endpoints use.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -268,7 +268,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.table.Endpoint(key.ID)
-	return ok && !e.Draining && connectionKey(e) == key
+	return ok && g.table.Accepts(key.ID) && connectionKey(e) == key
 }
 
 // connectionKey returns the pool key of the connections to an endpoint.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	// streamsTakenUp and streamsNotTakenUp count requests that take up a stream by whether its
 	// version is known and serves, streamsNotRecorded streams for which there was no room.
 	streamsTakenUp, streamsNotTakenUp, streamsNotRecorded tally.Counter
+	endpointsLeaving                                      tally.Counter // endpoints that have told this gateway that they leave
 	timeToFirstEvent                                      tally.Histogram
 	requestTime                                           tally.Histogram
 	placementWait                                         tally.Histogram
@@ -52,6 +53,7 @@
 		streamsTakenUp:     scope.Tagged(map[string]string{"result": "allowed"}).Counter("streams_taken_up_total"),
 		streamsNotTakenUp:  scope.Tagged(map[string]string{"result": "refused"}).Counter("streams_taken_up_total"),
 		streamsNotRecorded: scope.Counter("streams_not_recorded_total"),
+		endpointsLeaving:   scope.Counter("endpoints_leaving_total"),
 		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
 		requestTime:        scope.Histogram("request_seconds", latencyBuckets),
 		placementWait:      scope.Histogram("placement_wait_seconds", latencyBuckets),
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -138,7 +138,10 @@
 	g.mu.Lock()
 	changed := g.table.PeerDigest(g.now(), peer, d)
 	g.mu.Unlock()
-	for _, limit := range changed {
+	for _, id := range changed.Leaving {
+		klog.InfoS("endpoint leaving", "endpoint", id, "peer", peer)
+	}
+	for _, limit := range changed.Limits {
 		klog.InfoS("endpoint limit", "endpoint", limit.Endpoint, "requests_per_s", limit.PerSecond, "peer", peer)
 	}
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -179,7 +179,8 @@
 // that interval.
 func (e *Exchange) send(conn *net.UDPConn) {
 	digest := e.handler.Digest()
-	if slices.Equal(digest.Loads, e.lastDigest.Loads) && slices.EqualFunc(digest.Limits, e.lastDigest.Limits, sameLimit) && len(digest.Parts) == 0 && time.Since(e.lastSent) < unchangedInterval {
+	if slices.Equal(digest.Loads, e.lastDigest.Loads) && slices.EqualFunc(digest.Limits, e.lastDigest.Limits, sameLimit) &&
+		slices.EqualFunc(digest.Leavings, e.lastDigest.Leavings, sameLeaving) && len(digest.Parts) == 0 && time.Since(e.lastSent) < unchangedInterval {
 		return
 	}
 	e.lastDigest, e.lastSent = digest, time.Now()
@@ -208,6 +209,11 @@
 	return a.Endpoint == b.Endpoint && a.PerSecond == b.PerSecond
 }
 
+// sameLeaving reports whether two statements of leaving differ in their age at most.
+func sameLeaving(a, b placement.PeerLeaving) bool {
+	return a.Endpoint == b.Endpoint && a.Start == b.Start
+}
+
 // limitScale is the number of units of Digest.limit_millis in one request per second.
 const limitScale = 1000
 
@@ -244,6 +250,11 @@
 		d.LimitMillis = append(d.LimitMillis, int64(math.Round(max(l.PerSecond, -1)*limitScale)))
 		d.LimitAge = append(d.LimitAge, uint32(max(l.Age.Milliseconds(), 0)))
 	}
+	for _, l := range digest.Leavings {
+		d.LeavingEndpoint = append(d.LeavingEndpoint, l.Endpoint)
+		d.LeavingStart = append(d.LeavingStart, l.Start)
+		d.LeavingAge = append(d.LeavingAge, uint32(max(l.Age.Milliseconds(), 0)))
+	}
 	for _, address := range listedPeers {
 		bytes := address.As4()
 		d.Peer = append(d.Peer, binary.BigEndian.Uint32(bytes[:]))
@@ -320,7 +331,8 @@
 		return placement.PeerDigest{}, false
 	}
 	if len(d.Service) != len(d.Reading) || len(d.Service) != len(d.SetAside) || len(d.CachedPart) != len(d.CachedAt) ||
-		len(d.LimitedEndpoint) != len(d.LimitMillis) || len(d.LimitedEndpoint) != len(d.LimitAge) {
+		len(d.LimitedEndpoint) != len(d.LimitMillis) || len(d.LimitedEndpoint) != len(d.LimitAge) ||
+		len(d.LeavingEndpoint) != len(d.LeavingStart) || len(d.LeavingEndpoint) != len(d.LeavingAge) {
 		return placement.PeerDigest{}, false
 	}
 	var digest placement.PeerDigest
@@ -348,6 +360,11 @@
 			Endpoint: endpoint, PerSecond: float64(d.LimitMillis[i]) / limitScale, Age: time.Duration(d.LimitAge[i]) * time.Millisecond,
 		})
 	}
+	for i, endpoint := range d.LeavingEndpoint {
+		digest.Leavings = append(digest.Leavings, placement.PeerLeaving{
+			Endpoint: endpoint, Start: d.LeavingStart[i], Age: time.Duration(d.LeavingAge[i]) * time.Millisecond,
+		})
+	}
 	return digest, true
 }
 
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -105,7 +105,7 @@
 	e.handleDatagram(addr(2), []byte{0xff, 0xff, 0xff})
 	_, ok := decode(&pb.Digest{Endpoint: []uint32{1, 2}, InFlight: []uint32{1}})
 	assert.Assert(t, !ok)
-	for _, invalid := range []*pb.Digest{{Service: []uint32{1}}, {LimitedEndpoint: []uint32{1}, LimitAge: []uint32{1}}, {LimitMillis: []int64{1}}} {
+	for _, invalid := range []*pb.Digest{{Service: []uint32{1}}, {LimitedEndpoint: []uint32{1}, LimitAge: []uint32{1}}, {LimitMillis: []int64{1}}, {LeavingEndpoint: []uint32{1}, LeavingAge: []uint32{1}}} {
 		_, ok = decode(invalid)
 		assert.Assert(t, !ok)
 	}
@@ -165,6 +165,7 @@
 		PrefillDemands: []placement.PeerPrefillDemand{{Service: 8, TokensPerSecond: 9, SetAside: 10}},
 		Parts:          []placement.PeerPart{{Endpoint: 11, Part: 12}},
 		Limits:         []placement.PeerLimit{{Endpoint: 13, PerSecond: 1.7, Age: 14 * time.Millisecond}, {Endpoint: 15, PerSecond: -1}, {Endpoint: 16, PerSecond: 0}},
+		Leavings:       []placement.PeerLeaving{{Endpoint: 17, Start: 1796375105833, Age: 18 * time.Millisecond}, {Endpoint: 19}},
 	}
 	e := &Exchange{}
 	got, ok := decode(e.encode(want, confirmation.Confirmation{}, nil))
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -70,6 +70,7 @@
 	hasReport        bool
 
 	*limitRecord
+	leaving bool // whether it has said that it leaves
 
 	lastReceived     domain.Instant // arrival of the last bytes on any connection
 	outstandingSince domain.Instant // start of the current period with requests in progress
@@ -106,6 +107,7 @@
 	peers          map[string]PeerDigest     // last digest of each peer
 	lastPartExpiry domain.Instant
 	limitRecords   map[string]*limitRecord // by endpoint, also of endpoints that were removed a while ago
+	leavings       map[uint32]leaving      // by the endpoint's hash, also of endpoints that were removed a while ago
 	joinedAt       domain.Instant          // first call of SetProcesses; 0 before it
 	process        uint64
 	otherProcesses []uint64
@@ -145,6 +147,7 @@
 		byHash:   make(map[uint32]*endpointState),
 
 		limitRecords: make(map[string]*limitRecord),
+		leavings:     make(map[uint32]leaving),
 		peers:        make(map[string]PeerDigest),
 	}
 }
@@ -156,12 +159,14 @@
 	old := t.byID[e.ID]
 	if old != nil && old.Start == e.Start && old.Address == e.Address && old.Service == e.Service {
 		old.Endpoint = e
+		t.applyLeaving(now, old)
 		return
 	}
 	t.Remove(e.ID)
 	s := &endpointState{Endpoint: e, idHash: xxhash.Sum64String(e.ID), lastReceived: now, limitRecord: t.limitRecordOf(now, e)}
 	t.byID[e.ID] = s
 	t.byHash[s.hash()] = s
+	t.applyLeaving(now, s)
 	for _, digest := range t.peers {
 		for _, l := range digest.Loads {
 			if l.Endpoint == s.hash() {
@@ -202,6 +207,9 @@
 // hash identifies the endpoint in digests.
 func (s *endpointState) hash() uint32 { return uint32(s.idHash) }
 
+// endpointHash returns the hash that identifies an endpoint in digests.
+func endpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // Remove deletes an endpoint.
 func (t *Table) Remove(id string) {
 	s := t.byID[id]
--- a/internal/placement/obstacles.go
+++ b/internal/placement/obstacles.go
@@ -17,6 +17,8 @@
 	// ObstacleUnavailable means that the endpoint drains, that the request was sent
 	// there before, or that it is avoided because of its failures or its silence.
 	ObstacleUnavailable
+	// ObstacleLeaving means that the endpoint has said that it leaves.
+	ObstacleLeaving
 	// ObstacleVersion means that the request takes up a stream that began at another version of
 	// the endpoint's software.
 	ObstacleVersion
@@ -43,7 +45,7 @@
 
 // String returns the obstacle's name in logs.
 func (o Obstacle) String() string {
-	return [...]string{"none", "unavailable", "version", "limit", "slots", "memory", "long_prompt", "pool", "affinity", "backlog", "deadline"}[o]
+	return [...]string{"none", "unavailable", "leaving", "version", "limit", "slots", "memory", "long_prompt", "pool", "affinity", "backlog", "deadline"}[o]
 }
 
 // Obstacles is the number of a service's endpoints by the first obstacle that each has
@@ -77,13 +79,15 @@
 	usable := t.usable(now, svc.endpoints, q)
 	for _, s := range svc.endpoints {
 		switch {
+		case s.leaving:
+			o[ObstacleLeaving]++
 		case !s.atVersion(q.Version):
 			o[ObstacleVersion]++
 		case !t.withinLimit(now, s):
 			o[ObstacleLimit]++
 		}
 	}
-	o[ObstacleUnavailable] = len(svc.endpoints) - len(usable) - o[ObstacleVersion] - o[ObstacleLimit]
+	o[ObstacleUnavailable] = len(svc.endpoints) - len(usable) - o[ObstacleLeaving] - o[ObstacleVersion] - o[ObstacleLimit]
 	if len(usable) == 0 {
 		return o
 	}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -50,6 +50,8 @@
 	Parts []PeerPart
 	// Limits are what endpoints have said of their request limits to the process.
 	Limits []PeerLimit
+	// Leavings are the endpoints that have told the process that they leave.
+	Leavings []PeerLeaving
 }
 
 func (l PeerLoad) load() load {
@@ -80,23 +82,31 @@
 	slices.SortFunc(d.PrefillDemands, func(a, b PeerPrefillDemand) int { return cmp.Compare(a.Service, b.Service) })
 	d.Parts = t.takeAnnouncements()
 	d.Limits = t.ownLimits(now)
+	d.Leavings = t.ownLeavings(now)
 	return d
 }
 
 // ServiceHash identifies a service in messages between processes.
 func ServiceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
+// DigestChanges is what a peer's digest has changed of what is known of endpoints.
+type DigestChanges struct {
+	Limits []ChangedLimit
+	// Leaving are the identifiers of endpoints that leave.
+	Leaving []string
+}
+
 // PeerDigest replaces the last digest of a peer. An empty digest removes the peer. It
-// returns the request limits of endpoints that have changed by it.
-func (t *Table) PeerDigest(now domain.Instant, peer string, d PeerDigest) []ChangedLimit {
+// returns what has changed by it.
+func (t *Table) PeerDigest(now domain.Instant, peer string, d PeerDigest) DigestChanges {
 	t.addPeerParts(now, d.Parts)
-	changed := t.addPeerLimits(now, d.Limits)
+	changed := DigestChanges{Limits: t.addPeerLimits(now, d.Limits), Leaving: t.addPeerLeavings(now, d.Leavings)}
 	t.addPeer(t.peers[peer].Loads, -1)
 	if len(d.Loads) == 0 && len(d.PrefillDemands) == 0 {
 		delete(t.peers, peer)
 		return changed
 	}
-	d.Parts, d.Limits = nil, nil
+	d.Parts, d.Limits, d.Leavings = nil, nil, nil
 	t.peers[peer] = d
 	t.addPeer(d.Loads, 1)
 	return changed
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -265,7 +265,7 @@
 // computeLayout updates the size of the decode pool and returns the layout for a
 // request.
 func (t *Table) computeLayout(now domain.Instant, svc *service, usable []*endpointState, q Query) layout {
-	serving := slices.DeleteFunc(slices.Clone(svc.endpoints), func(s *endpointState) bool { return s.Draining })
+	serving := slices.DeleteFunc(slices.Clone(svc.endpoints), func(s *endpointState) bool { return !s.accepts() })
 	prefillDemand, peerPoolSizes := t.totalPrefillDemand(now, svc, q.Service)
 	l := layout{decodePoolSize: svc.decodePool.update(now, serving, prefillDemand, svc.prefillSpeed.tokens(), peerPoolSizes)}
 	l.formerDecodePool = serving[l.decodePoolSize:max(l.decodePoolSize, svc.decodePool.occupiedEnd)]
@@ -349,7 +349,7 @@
 func (t *Table) usable(now domain.Instant, all []*endpointState, q Query) []*endpointState {
 	var eligible, available []*endpointState
 	for _, s := range all {
-		if s.Draining || slices.Contains(q.Exclude, s.ID) || !t.withinLimit(now, s) || !s.atVersion(q.Version) {
+		if !s.accepts() || slices.Contains(q.Exclude, s.ID) || !t.withinLimit(now, s) || !s.atVersion(q.Version) {
 			continue
 		}
 		eligible = append(eligible, s)
@@ -371,7 +371,7 @@
 // Serves reports whether a service has an endpoint at a software version that takes requests.
 func (t *Table) Serves(service string, version streamversions.Version) bool {
 	svc := t.services[service]
-	return svc != nil && slices.ContainsFunc(svc.endpoints, func(s *endpointState) bool { return !s.Draining && s.atVersion(version) })
+	return svc != nil && slices.ContainsFunc(svc.endpoints, func(s *endpointState) bool { return s.accepts() && s.atVersion(version) })
 }
 
 // unresponsive reports whether an endpoint with requests in progress has sent
--- a/internal/placement/requestlimit_test.go
+++ b/internal/placement/requestlimit_test.go
@@ -114,7 +114,7 @@
 func TestLimitBelowRequestsOfPeers(t *testing.T) {
 	table, now := newJoinedTable(1, 1, 2, 3, 4)
 	limits := []PeerLimit{{Endpoint: table.byID["e00"].hash(), PerSecond: 1.7}}
-	assert.Equal(t, len(table.PeerDigest(now, "a", PeerDigest{Limits: limits})), 1)
+	assert.Equal(t, len(table.PeerDigest(now, "a", PeerDigest{Limits: limits}).Limits), 1)
 	assert.Assert(t, table.Pick(now.Add(limitWindow-time.Millisecond), plainQuery()) == nil)
 	assert.Assert(t, table.Pick(now.Add(limitWindow), plainQuery()) != nil)
 }
@@ -142,12 +142,12 @@
 	name(a, now, 1.7)
 	d := a.Digest(now.Add(50 * time.Millisecond))
 	assert.DeepEqual(t, d.Limits, []PeerLimit{{Endpoint: a.byID["e00"].hash(), PerSecond: 1.7, Age: 50 * time.Millisecond}})
-	assert.DeepEqual(t, b.PeerDigest(now.Add(60*time.Millisecond), "a", d), []ChangedLimit{{Endpoint: "e00", PerSecond: 1.7}})
-	assert.Assert(t, len(b.PeerDigest(now.Add(70*time.Millisecond), "a", d)) == 0)
+	assert.DeepEqual(t, b.PeerDigest(now.Add(60*time.Millisecond), "a", d).Limits, []ChangedLimit{{Endpoint: "e00", PerSecond: 1.7}})
+	assert.Assert(t, len(b.PeerDigest(now.Add(70*time.Millisecond), "a", d).Limits) == 0)
 	assert.Assert(t, len(b.Digest(now.Add(time.Second)).Limits) == 0)
 
 	name(b, now.Add(2*time.Second), math.Inf(1))
-	assert.Assert(t, len(b.PeerDigest(now.Add(2*time.Second), "a", PeerDigest{Limits: []PeerLimit{{Endpoint: a.byID["e00"].hash(), PerSecond: 1.7, Age: time.Second}}})) == 0, "an older statement replaced the end")
+	assert.Assert(t, len(b.PeerDigest(now.Add(2*time.Second), "a", PeerDigest{Limits: []PeerLimit{{Endpoint: a.byID["e00"].hash(), PerSecond: 1.7, Age: time.Second}}}).Limits) == 0, "an older statement replaced the end")
 }
 
 // The end of a limit is announced for a while, and reaches processes that send nothing.
@@ -159,7 +159,7 @@
 	name(a, now.Add(time.Second), math.Inf(1))
 	d := a.Digest(now.Add(time.Second))
 	assert.Equal(t, d.Limits[0].PerSecond, -1.0)
-	assert.DeepEqual(t, b.PeerDigest(now.Add(time.Second), "a", d), []ChangedLimit{{Endpoint: "e00", PerSecond: math.Inf(1)}})
+	assert.DeepEqual(t, b.PeerDigest(now.Add(time.Second), "a", d).Limits, []ChangedLimit{{Endpoint: "e00", PerSecond: math.Inf(1)}})
 	assert.Assert(t, !b.byID["e00"].limit.named)
 	assert.Assert(t, len(a.Digest(now.Add(2*time.Second+endedLimitAge)).Limits) == 0)
 }
--- a/internal/replay/engine_test.go
+++ b/internal/replay/engine_test.go
@@ -82,7 +82,10 @@
 	prefilledParts                       map[uint64]bool // by part, of all engines
 	limit                                requestLimit
 	arrivals                             []arrival
-	slowdown                             time.Duration // a factor, not a duration: multiplies the step time; 0 is the same as 1
+	leaves                               bool                  // says in its answers that it leaves
+	toldLeaving                          map[int]time.Duration // first answer that said so, by gateway
+	started                              int64                 // how often it has started again
+	slowdown                             time.Duration         // a factor, not a duration: multiplies the step time; 0 is the same as 1
 }
 
 // accept queues a request at the engine.
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -184,8 +184,8 @@
 	}
 	spec := sim.engines[0].engineSpec
 	g.table.SetEngine(modelService, placement.EngineProfile{MemoryTokens: spec.memoryTokens, CanFetch: true})
-	for i, e := range sim.engines {
-		g.table.Put(1, placement.Endpoint{ID: e.id, Address: e.address, Service: modelService, Slots: engineSlots, Start: int64(i)})
+	for i := range sim.engines {
+		sim.register(g, i)
 	}
 	return g
 }
@@ -347,6 +347,7 @@
 	if q.firstEventAt == 0 {
 		q.firstEventAt = at
 		sim.engineOf(q.ticket).nameLimit(at, g, q)
+		sim.engineOf(q.ticket).nameLeaving(at, g, q)
 	} else {
 		q.longestEventGap = max(q.longestEventGap, at-r.last)
 	}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -33,6 +33,7 @@
 	received      time.Time // end of the response
 	limitedBy     string    // signature of the replica that named a limit in the response; empty if none did
 	status        int
+	leavingBy     string // signature of the replica that said in the response that it leaves; empty if none did
 	resumes       string // ID of the call that began the stream which this one takes up; empty if it takes up none
 	after         int    // last event that the caller has of that stream
 	served        int    // registered replicas of the version that began that stream
@@ -141,9 +142,13 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	result.status, result.body, result.err, result.received = response.StatusCode, string(body), err, time.Now()
-	if answer := (dialect.Dialect{}).ReadAnswer(response.StatusCode, response.Header); !math.IsInf(answer.RequestLimit, 1) {
+	answer := (dialect.Dialect{}).ReadAnswer(response.StatusCode, response.Header)
+	if !math.IsInf(answer.RequestLimit, 1) {
 		result.limitedBy = answer.Signature
 	}
+	if answer.Leaving {
+		result.leavingBy = answer.Signature
+	}
 }
 
 // checkCalls checks the gateway's guarantees for all calls against the requests that
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -51,7 +51,8 @@
 	configVersion int
 	retryRatio    float64 // setting of the gateways
 
-	limits []*limitPeriod
+	limits   []*limitPeriod
+	leavings []*leavingPeriod
 
 	mixed bool // whether replicas have several software versions
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -39,6 +39,7 @@
 		c.replica(rng).SetResponseDelay(time.Duration(rng.IntN(200)) * time.Millisecond)
 	}},
 	{"replica restarted", func(c *cluster, rng *rand.Rand) { c.restartReplica(c.replica(rng), rng) }},
+	{"replica leaves", func(c *cluster, rng *rand.Rand) { c.leave(rng.IntN(len(c.replicas))) }},
 	{"replicas cut their streams", func(c *cluster, _ *rand.Rand) { c.setFaults(replica.TruncatedStream) }},
 	{"replica draining", func(c *cluster, rng *rand.Rand) { c.register(c.replica(rng), "draining") }},
 	{"replica row removed", func(c *cluster, rng *rand.Rand) { c.unregister(c.replica(rng)) }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,10 @@
 		// Streams that are cut later are often few, as callers are refused.
 		c.setFaults(replica.TruncatedStream)
 	}
+	if rng.IntN(2) == 0 {
+		// A replica that leaves later has often said so to few gateways before the end.
+		c.leave(len(c.replicas) - 1)
+	}
 	for ctx.Err() == nil {
 		a := actions[rng.IntN(len(actions))]
 		c.logf("action: %s", a.name)
@@ -63,6 +67,7 @@
 	c.checkLimits(calls)
 	c.checkRetries(calls)
 	c.checkStreams(calls)
+	c.checkLeavings(calls)
 	c.logf("seed %d: %d calls, %d succeeded, %d refused", seed, len(calls), countCalls(calls, succeeded), countCalls(calls, refused))
 	assert.Assert(t, countCalls(calls, succeeded) > 0, "no call succeeded")
 	// Every gateway must become ready once the faults are cleared.
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -97,6 +98,7 @@
 	c.mu.Unlock()
 	c.logf("%s starts again at %s", r.ID, version)
 	r.Restart(version, start)
+	c.endLeaving(slices.Index(c.replicas, r))
 	for _, p := range c.limits {
 		if c.replicas[p.replica] == r && p.to.IsZero() {
 			// Gateways know nothing of the new process's limit before it names it.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -63,6 +63,7 @@
 	accepted   int
 	born       int64 // Unix time of the process's start in milliseconds
 	conns      map[net.Conn]bool
+	leaving    bool    // said in all answers
 	version    string  // named in the data of each stream event; empty for none
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
@@ -118,6 +119,13 @@
 	r.limit = perSecond
 }
 
+// SetLeaving sets whether the replica says in all its answers that it leaves. It goes on serving.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
 // SetVersion sets the version of the replica's software, which it writes into the data of each
 // event of a stream. The replica does not check at which version a stream began.
 func (r *Replica) SetVersion(version string) {
@@ -131,7 +139,7 @@
 func (r *Replica) Restart(version string, born int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version, r.born = version, born
+	r.version, r.born, r.leaving = version, born, false
 	for conn := range r.conns {
 		closeQuietly(conn)
 	}
@@ -207,9 +215,9 @@
 		r.writeReport(conn)
 		return true
 	}
-	limit := r.recordArrival(request)
+	statements := r.recordArrival(request)
 	if fault == NotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, limit)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, statements)
 		return true
 	}
 	r.mu.Lock()
@@ -233,10 +241,10 @@
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
-		return r.writeStream(conn, request, limit, fault, delay)
+		return r.writeStream(conn, request, statements, fault, delay)
 	}
 	time.Sleep(delay)
-	return r.writePlain(conn, id, limit, fault)
+	return r.writePlain(conn, id, statements, fault)
 }
 
 // writeReport writes the replica's report of itself.
@@ -247,27 +255,31 @@
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// recordArrival records a request and returns the header line of the limit that its response
-// names; empty if there is none.
+// recordArrival records a request and returns the header lines of what its response says of the
+// replica: its limit, and that it leaves.
 func (r *Replica) recordArrival(request *http.Request) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), Header: request.Header, Limit: r.limit})
-	if r.limit == 0 {
-		return ""
+	lines := ""
+	if r.leaving {
+		lines = "Server-Leaving: 1\r\n"
+	}
+	if r.limit > 0 {
+		lines += fmt.Sprintf("Server-Limit: %g\r\n", r.limit)
 	}
-	return fmt.Sprintf("Server-Limit: %g\r\n", r.limit)
+	return lines
 }
 
 // writePlain writes a response that is not a stream. It returns false if the
-// connection must be closed. limit is a header line.
-func (r *Replica) writePlain(conn net.Conn, id, limit string, fault Fault) bool {
-	status, signature := "200 OK", "X-Replica-Seal: seal-"+r.ID+"\r\n"+limit
+// connection must be closed. statements are header lines.
+func (r *Replica) writePlain(conn net.Conn, id, statements string, fault Fault) bool {
+	status, signature := "200 OK", "X-Replica-Seal: seal-"+r.ID+"\r\n"+statements
 	switch fault {
 	case Error:
 		status = "500 Internal Server Error"
 	case MissingSignature:
-		signature = limit
+		signature = statements
 	case MissingLength:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\nwhole %s", id, signature, id)
 		return false
@@ -282,8 +294,8 @@
 
 // writeStream writes server-sent events numbered from 1 to streamEvents, starting
 // after the Last-Event-Id of the request. It returns false if the connection must
-// be closed. limit is a header line.
-func (r *Replica) writeStream(conn net.Conn, request *http.Request, limit string, fault Fault, delay time.Duration) bool {
+// be closed. statements are header lines.
+func (r *Replica) writeStream(conn net.Conn, request *http.Request, statements string, fault Fault, delay time.Duration) bool {
 	lastID := 0
 	if last := request.Header.Get("Last-Event-Id"); last != "" {
 		n, err := strconv.Atoi(last)
@@ -300,7 +312,7 @@
 	}
 	id := request.Header.Get("X-Attempt-Id")
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n%sContent-Type: text/event-stream\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", id, r.ID, limit)
+		"Transfer-Encoding: chunked\r\n\r\n", id, r.ID, statements)
 	for n := lastID + 1; n <= streamEvents; n++ {
 		time.Sleep(delay)
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", n, n, id, version)
