Soak: streams taken up count while two replicas of their version serve; gateways' log lines of those that end

The users' rule counts streams while two replicas of their version serve; the check counted registered ones.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -36,7 +36,7 @@
 	leavingBy     string // signature of the replica that said in the response that it leaves; empty if none did
 	resumes       string // ID of the call that began the stream which this one takes up; empty if it takes up none
 	after         int    // last event that the caller has of that stream
-	served        int    // registered replicas of the version that began that stream
+	served        int    // serving replicas of the version that began that stream
 	body          string
 	err           error // no response, or an incomplete one
 }
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -70,6 +70,7 @@
 // process is a gateway process. The test signals no process that it has not started.
 type process struct {
 	settingsPath string
+	logPath      string // output of all its processes
 	peerIP       string // listens here for its peers
 	front        string // address for callers
 	ready        string // address of the readiness check
@@ -179,6 +180,7 @@
 	}
 	data, err := json.Marshal(file)
 	assert.NilError(c.t, err)
+	g.logPath = filepath.Join(c.t.TempDir(), fmt.Sprintf("gateway-%d.log", i))
 	g.settingsPath = filepath.Join(c.t.TempDir(), fmt.Sprintf("gateway-%d.json", i))
 	assert.NilError(c.t, os.WriteFile(g.settingsPath, data, 0o600))
 	return g
@@ -200,10 +202,27 @@
 // start starts the program of a gateway.
 func (c *cluster) start(g *process) {
 	g.cmd = exec.Command(c.program, "--settings", g.settingsPath)
+	output, err := os.OpenFile(g.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	assert.NilError(c.t, err)
+	defer output.Close()
+	g.cmd.Stdout = output
 	assert.NilError(c.t, g.cmd.Start())
 	g.disturbed.touch()
 }
 
+// logCalls adds the gateways' log lines about calls to the log that a failed test prints.
+func (c *cluster) logCalls(ids []string) {
+	for i, g := range c.gateways {
+		data, err := os.ReadFile(g.logPath)
+		assert.NilError(c.t, err)
+		for line := range strings.Lines(string(data)) {
+			if slices.ContainsFunc(ids, func(id string) bool { return strings.Contains(line, "request="+id+" ") }) {
+				c.logf("gateway %d: %s", i, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // kill kills a gateway's process, suspended or not, and waits for its end.
 func (c *cluster) kill(g *process) {
 	g.disturbed.touch()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,7 +39,12 @@
 // until faultDuration ends, after which the faults are cleared.
 func runSeed(t *testing.T, program string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, seed))
-	c := startCluster(t, program, 2+rng.IntN(2), 2+rng.IntN(3), retryRatios[rng.IntN(len(retryRatios))], rng.IntN(2) == 0)
+	gateways, replicas, mixed := 2+rng.IntN(2), 2+rng.IntN(3), rng.IntN(2) == 0
+	if mixed {
+		// Of each version some must be left that serve.
+		replicas += 4
+	}
+	c := startCluster(t, program, gateways, replicas, retryRatios[rng.IntN(len(retryRatios))], mixed)
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
 	callers := startCallers(ctx, c, rng.Uint64())
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -60,7 +60,7 @@
 	var calls []call
 	for n := 1; events != "" && n <= maxTakeUps; n++ {
 		next := call{id: fmt.Sprintf("%s.%d", first.id, n), path: resumablePath, key: first.key, gateway: rng.IntN(len(c.gateways)), resumes: first.id, after: strings.Count(events, "id: ")}
-		next.served = c.readyReplicas(events)
+		next.served = c.servingReplicas(events)
 		c.send(client, &next)
 		calls = append(calls, next)
 		if strings.Contains(next.body, "\n\n") {
@@ -74,13 +74,14 @@
 	return calls
 }
 
-// readyReplicas returns the number of registered replicas of the version that wrote a stream's events.
-func (c *cluster) readyReplicas(events string) int {
+// servingReplicas returns the number of registered replicas of the version that wrote a stream's
+// events which serve.
+func (c *cluster) servingReplicas(events string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, r := range c.replicas {
-		if c.states[r.ID] == "ready" && eventVersions(events)[c.versions[r.ID]] {
+		if c.states[r.ID] == "ready" && r.Serves() && eventVersions(events)[c.versions[r.ID]] {
 			n++
 		}
 	}
@@ -116,6 +117,7 @@
 func (c *cluster) checkStreams(calls []call) {
 	versions := make(map[string]map[string]bool)
 	var newStreams, begun, takenUp, wentOn int
+	var ended []string // streams that were taken up and did not go on
 	for _, result := range calls {
 		if result.path != resumablePath {
 			continue
@@ -144,6 +146,8 @@
 			takenUp++
 			if events || succeeded(result) {
 				wentOn++
+			} else {
+				ended = append(ended, result.id)
 			}
 		}
 	}
@@ -158,6 +162,7 @@
 		c.t.Errorf("%d of %d streams hold events of several versions", mixed, len(versions))
 	}
 	if takenUp >= minTakeUps && float64(wentOn)/float64(takenUp) < minTakenUpShare*float64(begun)/float64(newStreams) {
+		c.logCalls(ended)
 		c.t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, takenUp, begun, newStreams)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -122,6 +122,14 @@
 	r.limit = perSecond
 }
 
+// Serves reports whether the replica takes any number of requests and answers them, streams with some
+// of their events at least: it has no other fault, names no limit and does not leave.
+func (r *Replica) Serves() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return (r.fault == NoFault || r.fault == TruncatedStream) && !r.leaving && r.limit == 0
+}
+
 // SetPause sets for how many seconds the replica asks, with each refusal of the fault NotRun, to get
 // no request from that caller; 0 for none.
 func (r *Replica) SetPause(seconds float64) {
