--- a/internal/replay/leaving_test.go
+++ b/internal/replay/leaving_test.go
@@ -88,6 +88,16 @@
 		sim.simulate(5*time.Second, limitedLoad()...)
 		assert.Check(t, sim.engines[1].since(from+time.Second) > 0, "an engine that started again got nothing")
 		assert.Check(t, sim.engines[2].since(from+time.Second) == 0, "an engine that leaves got requests")
+		for _, e := range sim.engines {
+			e.arrivals = nil
+			e.leave()
+		}
+		from = sim.now
+		sim.simulate(4*time.Second, limitedLoad()...)
+		for _, e := range sim.engines {
+			e.checkLeaving(t, isolated)
+			assert.Check(t, e.since(from+3*time.Second) == 0, "%s got requests while all engines leave", e.id)
+		}
 	}
 }
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -22,6 +22,9 @@
 	replica.MissingLength, replica.MissingSignature, replica.Hang, replica.MalformedResponse,
 }
 
+// leavings are the kinds of responses in which a replica can say that it leaves.
+var leavings = []replica.Leaving{replica.LeavingEverywhere, replica.LeavingInRefusals, replica.LeavingInStreams}
+
 // actions are the actions that runSeed picks from, with equal probability.
 var actions = []action{
 	{"replica fault set", func(c *cluster, rng *rand.Rand) {
@@ -49,7 +52,9 @@
 		c.replica(rng).SetResponseDelay(time.Duration(rng.IntN(200)) * time.Millisecond)
 	}},
 	{"replica restarted", func(c *cluster, rng *rand.Rand) { c.restartReplica(c.replica(rng), rng) }},
-	{"replica leaves", func(c *cluster, rng *rand.Rand) { c.leave(rng.IntN(len(c.replicas))) }},
+	{"replica leaves", func(c *cluster, rng *rand.Rand) {
+		c.leave(rng.IntN(len(c.replicas)), leavings[rng.IntN(len(leavings))])
+	}},
 	{"replicas cut their streams", func(c *cluster, _ *rand.Rand) { c.setFaults(replica.TruncatedStream) }},
 	{"replica draining", func(c *cluster, rng *rand.Rand) { c.register(c.replica(rng), "draining") }},
 	{"replica row removed", func(c *cluster, rng *rand.Rand) { c.unregister(c.replica(rng)) }},
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 )
 
 // drainTime is how long after a response by which a gateway learnt that a replica leaves requests
@@ -15,10 +17,10 @@
 	replica int
 }
 
-// leave makes a replica say in all its responses that it leaves. Its row stays as it is.
-func (c *cluster) leave(i int) {
-	c.logf("%s leaves", c.replicas[i].ID)
-	c.replicas[i].SetLeaving(true)
+// leave makes a replica say in some or all of its responses that it leaves. Its row stays as it is.
+func (c *cluster) leave(i int, in replica.Leaving) {
+	c.logf("%s leaves, said in %d", c.replicas[i].ID, in)
+	c.replicas[i].SetLeaving(in)
 	for _, p := range c.leavings {
 		if p.replica == i && p.to.IsZero() {
 			return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -58,7 +58,7 @@
 	}
 	if rng.IntN(2) == 0 {
 		// A replica that leaves later has often said so to few gateways before the end.
-		c.leave(len(c.replicas) - 1)
+		c.leave(len(c.replicas)-1, replica.LeavingEverywhere)
 	}
 	if rng.IntN(2) == 0 {
 		c.replicas[0].SetPause(0.6 + 4*rng.Float64())
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -38,6 +38,17 @@
 // FirstBorn is the start of a replica's process, in Unix milliseconds, until Restart.
 const FirstBorn = 1
 
+// Leaving is the kind of answers in which a replica says that it leaves.
+type Leaving uint8
+
+// The kinds of answers.
+const (
+	LeavingNowhere    Leaving = iota
+	LeavingEverywhere         // in all answers
+	LeavingInRefusals         // in those of the fault NotRun
+	LeavingInStreams          // in the heads of streams
+)
+
 // streamEvents is the number of events in a stream.
 const streamEvents = 5
 
@@ -63,7 +74,7 @@
 	accepted   int
 	born       int64 // Unix time of the process's start in milliseconds
 	conns      map[net.Conn]bool
-	leaving    bool    // said in all answers
+	leaving    Leaving
 	pause      float64 // seconds named in the Retry-After header of refusals; 0 for none
 	version    string  // named in the data of each stream event; empty for none
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
@@ -127,7 +138,7 @@
 func (r *Replica) Serves() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return (r.fault == NoFault || r.fault == TruncatedStream) && !r.leaving && r.limit == 0
+	return (r.fault == NoFault || r.fault == TruncatedStream) && r.leaving == LeavingNowhere && r.limit == 0
 }
 
 // SetPause sets for how many seconds the replica asks, with each refusal of the fault NotRun, to get
@@ -138,8 +149,8 @@
 	r.pause = seconds
 }
 
-// SetLeaving sets whether the replica says in all its answers that it leaves. It goes on serving.
-func (r *Replica) SetLeaving(leaving bool) {
+// SetLeaving sets the answers in which the replica says that it leaves. It goes on serving.
+func (r *Replica) SetLeaving(leaving Leaving) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = leaving
@@ -158,7 +169,7 @@
 func (r *Replica) Restart(version string, born int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version, r.born, r.leaving = version, born, false
+	r.version, r.born, r.leaving = version, born, LeavingNowhere
 	for conn := range r.conns {
 		closeQuietly(conn)
 	}
@@ -266,6 +277,21 @@
 	return r.writePlain(conn, id, statements, fault)
 }
 
+// saysLeaving reports whether the answer to a request says that the replica leaves. The caller must
+// hold r.mu.
+func (r *Replica) saysLeaving(request *http.Request) bool {
+	switch r.leaving {
+	case LeavingEverywhere:
+		return true
+	case LeavingInRefusals:
+		return r.fault == NotRun
+	case LeavingInStreams:
+		return r.fault != NotRun && strings.HasPrefix(request.URL.Path, "/stream/")
+	default:
+		return false
+	}
+}
+
 // writeReport writes the replica's report of itself.
 func (r *Replica) writeReport(conn net.Conn) {
 	r.mu.Lock()
@@ -285,7 +311,7 @@
 		r.arrivals[len(r.arrivals)-1].Pause = r.pause
 		lines = fmt.Sprintf("Retry-After: %g\r\n", r.pause)
 	}
-	if r.leaving {
+	if r.saysLeaving(request) {
 		lines += "Server-Leaving: 1\r\n"
 	}
 	if r.limit > 0 {
