--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -131,8 +132,7 @@
 		request.Header[name] = values
 	}
 	if result.resumes != "" {
-		request.Header.Set("Resumes", result.resumes)
-		request.Header.Set("Last-Event-Id", strconv.Itoa(result.after))
+		maps.Copy(request.Header, dialect.Dialect{}.TakeUpHeaders(result.resumes, result.after))
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -54,9 +54,8 @@
 				continue
 			}
 			since, ok := told[gateway]
-			id := a.Header.Get("X-Attempt-Id")
-			if ok && sent[id].After(since.Add(drainTime)) && !c.gateways[gateway].disturbed.within(since, a.At) {
-				c.t.Errorf("%s got %s from gateway %d, which had passed on %s before the call that it leaves", c.replicas[p.replica].ID, id, gateway, sent[id].Sub(since))
+			if ok && sent[a.ID].After(since.Add(drainTime)) && !c.gateways[gateway].disturbed.within(since, a.At) {
+				c.t.Errorf("%s got %s from gateway %d, which had passed on %s before the call that it leaves", c.replicas[p.replica].ID, a.ID, gateway, sent[a.ID].Sub(since))
 				return
 			}
 		}
--- a/internal/soak/retries_test.go
+++ b/internal/soak/retries_test.go
@@ -51,7 +51,7 @@
 	var arrivals []arrival
 	for _, r := range c.replicas {
 		for _, a := range r.Arrivals() {
-			arrivals = append(arrivals, arrival{a.Header.Get("X-Attempt-Id"), a.At})
+			arrivals = append(arrivals, arrival{a.ID, a.At})
 		}
 	}
 	slices.SortFunc(arrivals, func(a, b arrival) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -83,7 +83,9 @@
 
 // Arrival is a request that reached a replica, executed or not.
 type Arrival struct {
-	At     time.Time
+	At time.Time
+	// ID identifies the client's request; all attempts of a gateway to answer it have the same.
+	ID     string
 	Header http.Header
 	// Limit is the limit that the response named; 0 if it named none.
 	Limit float64
@@ -305,7 +307,7 @@
 func (r *Replica) recordArrival(request *http.Request) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), Header: request.Header, Limit: r.limit})
+	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), ID: request.Header.Get("X-Attempt-Id"), Header: request.Header, Limit: r.limit})
 	lines := ""
 	if r.fault == NotRun && r.pause > 0 {
 		r.arrivals[len(r.arrivals)-1].Pause = r.pause
