--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -38,7 +38,7 @@
 		}
 	}
 	g.mu.Unlock()
-	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "keyed", c.RequiresKey)
+	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "routes", c.Routes(), "keyed", c.RequiresKey)
 }
 
 // Endpoint adds or updates an endpoint from its registry entry and cancels a
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -158,6 +158,15 @@
 	return c
 }
 
+// Routes returns the number of routes.
+func (c *Config) Routes() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
+
 // Match returns the route of a host with the longest prefix of a path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	for _, r := range c.routes[canonicalHost(host)] {
