--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -5,11 +5,14 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 )
 
@@ -19,8 +22,10 @@
 // Relay listens at an address and forwards each connection to a target. It is safe
 // for concurrent use.
 type Relay struct {
-	listener net.Listener
-	target   string
+	listener   net.Listener
+	target     string
+	link       *rate.Limiter // of all connections together, downstream, in bytes per second
+	downstream atomic.Int64  // bytes forwarded downstream
 
 	mu        sync.Mutex
 	pairs     map[*connPair]bool
@@ -46,7 +51,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "step=listen address=%s", listen)
 	}
-	r := &Relay{listener: listener, target: target, pairs: make(map[*connPair]bool)}
+	r := &Relay{listener: listener, target: target, link: rate.NewLimiter(rate.Inf, copyBufferBytes), pairs: make(map[*connPair]bool)}
 	go r.acceptLoop()
 	return r, nil
 }
@@ -85,6 +90,19 @@
 	r.delay = d
 }
 
+// SetRate limits what all connections together carry downstream, in bytes per second, like the link of
+// the client's host; 0 for no limit.
+func (r *Relay) SetRate(bytesPerSecond int) {
+	if bytesPerSecond <= 0 {
+		r.link.SetLimit(rate.Inf)
+		return
+	}
+	r.link.SetLimit(rate.Limit(bytesPerSecond))
+}
+
+// Downstream returns the number of bytes forwarded downstream so far.
+func (r *Relay) Downstream() int64 { return r.downstream.Load() }
+
 // SetBlackhole starts or ends a fault in which new connections are accepted and all
 // their data is dropped. Starting it also drops all further data on the
 // connections that are open now. Ending it affects new connections only.
@@ -134,8 +152,16 @@
 	p.dropUpstream, p.dropDownstream = r.blackhole, r.blackhole
 	r.pairs[p] = true
 	r.mu.Unlock()
-	go p.forward(client, server, func() bool { return p.dropUpstream })
-	go p.forward(server, client, func() bool { return p.dropDownstream })
+	go p.forward(client, server, func() bool { return p.dropUpstream }, func(int) {})
+	go p.forward(server, client, func() bool { return p.dropDownstream }, r.useLink)
+}
+
+// useLink waits until the link has carried n bytes downstream, at most copyBufferBytes.
+func (r *Relay) useLink(n int) {
+	if err := r.link.WaitN(context.Background(), n); err != nil {
+		klog.ErrorS(err, "link not used", "bytes", n)
+	}
+	r.downstream.Add(int64(n))
 }
 
 // setDrop starts dropping in the directions that are true. It never ends dropping.
@@ -147,8 +173,8 @@
 
 // forward copies one direction until an end closes. While dropped returns true it
 // discards data, and it does not propagate a close: the receiver sees neither data
-// nor the end of the connection.
-func (p *connPair) forward(from, to net.Conn, dropped func() bool) {
+// nor the end of the connection. It calls carry with the size of each piece of data before it sends it.
+func (p *connPair) forward(from, to net.Conn, dropped func() bool, carry func(bytes int)) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -166,6 +192,7 @@
 			continue
 		}
 		if n > 0 {
+			carry(n)
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				p.close()
 				return
