Configuration: a change is confirmed at the time of the store's reply

A call waits at the store for up to 10 s, and a large reply takes seconds to arrive: the keys of the configuration that it brought were confirmed as of the time of the request, which had expired, and were confirmed again only by one more call. The reply has the store's clock, whose readings are converted for the confirmations of peers already. Test: TestChangeIsConfirmedAtTheTimeOfTheReply, fails without the change.

--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -12,13 +12,17 @@
 // ConfigurationConfirmed records that the current configuration was the newest
 // at a boot-clock time. Keys are accepted for a part of Settings.KeyValidity from
 // then on; see package validity. A store that came back from a copy confirms nothing
-// until the operator has written the current configuration or a newer one again.
+// until the operator has written the current configuration or a newer one again. The reading of the store's clock in a reply
+// that waited at the store or took long to arrive tells of a later time than that of its request.
 func (g *Gateway) ConfigurationConfirmed(at time.Duration, reading confirmation.StoreTime) {
 	config := g.config.Load()
 	if config == nil {
 		return
 	}
 	g.mu.Lock()
+	if repliedAt, ok := g.storeClock.Local(reading); ok {
+		at = max(at, repliedAt)
+	}
 	current := g.storedVersion >= config.Version
 	confirmed := confirmation.Confirmation{Version: config.Version, At: reading}
 	if current && reading.Millis > 0 && g.validity.Trusts(at) && confirmed.Newer(g.confirmed) {
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -110,3 +110,17 @@
 	g.EndpointRestored(later)
 	assert.Assert(t, used(), "a later start was held back")
 }
+
+// A reply with a change may have waited at the store for seconds, and a large one takes long to arrive. Its configuration
+// was the newest when the store replied, not only when the call was made.
+func TestChangeIsConfirmedAtTheTimeOfTheReply(t *testing.T) {
+	g, _ := newTestGateway(7)
+	first := bootclock.Now()
+	g.StoreAnswered(first, confirmation.StoreTime{Era: 1, Millis: storeNow})
+	const waited = 8 * time.Second
+	reading := confirmation.StoreTime{Era: 1, Millis: storeNow + waited.Milliseconds()}
+	g.StoreAnswered(first, reading)
+	g.ConfigurationConfirmed(first, reading)
+	assert.Assert(t, g.validity.Valid(first+waited), "the keys have expired on arrival")
+	assert.Assert(t, !g.validity.Valid(first+waited+5*time.Second), "the keys outlive the time of the reply")
+}
