--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -58,6 +58,7 @@
 	copyVersion  int64
 	historyStart int64 // watches from an earlier version get 410 Gone
 	down         bool
+	delay        time.Duration // before each response, beside the wait of a watch
 	requests     int           // received, including those during outages
 	changed      chan struct{} // closed and replaced on each change of rows, history or outage
 }
@@ -76,14 +77,25 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.requests++
-	down := s.down
+	down, delay := s.down, s.delay
 	w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.router.ServeHTTP(w, r)
+	select {
+	case <-time.After(delay):
+		s.router.ServeHTTP(w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// SetDelay sets the delay of each response.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
 }
 
 // Put inserts or replaces a row.
