--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -5,8 +5,6 @@
 package routing
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"time"
 )
@@ -118,7 +116,7 @@
 	// LongestResumable is the longest timeout of the resumable routes.
 	LongestResumable time.Duration
 
-	routes   map[string][]*Route
+	routes   map[string]*hostRoutes
 	accounts map[string]*Account
 	// routeTierCount is one more than the largest Tier of a route.
 	routeTierCount int
@@ -132,7 +130,7 @@
 		Limits:      limits,
 		Services:    make(map[string]*Service, len(services)),
 		RequiresKey: len(accounts) > 0,
-		routes:      make(map[string][]*Route),
+		routes:      make(map[string]*hostRoutes),
 		accounts:    make(map[string]*Account),
 	}
 	for _, s := range services {
@@ -140,16 +138,15 @@
 	}
 	for _, r := range routes {
 		host := canonicalHost(r.Host)
-		c.routes[host] = append(c.routes[host], r)
+		if c.routes[host] == nil {
+			c.routes[host] = &hostRoutes{byPrefix: make(map[string]*Route)}
+		}
+		c.routes[host].add(r)
 		c.routeTierCount = max(c.routeTierCount, r.Tier+1)
 		if r.Resumable {
 			c.LongestResumable = max(c.LongestResumable, r.Timeout)
 		}
 	}
-	for _, list := range c.routes {
-		// Longest prefix first, so that the first match is the route.
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
 	for _, a := range accounts {
 		for _, key := range a.Keys {
 			c.accounts[key] = a
@@ -161,18 +158,16 @@
 // Routes returns the number of routes.
 func (c *Config) Routes() int {
 	n := 0
-	for _, list := range c.routes {
-		n += len(list)
+	for _, h := range c.routes {
+		n += len(h.byPrefix)
 	}
 	return n
 }
 
 // Match returns the route of a host with the longest prefix of a path, or nil.
 func (c *Config) Match(host, path string) *Route {
-	for _, r := range c.routes[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	if h := c.routes[canonicalHost(host)]; h != nil {
+		return h.match(path)
 	}
 	return nil
 }
