--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/silence"
 	"github.com/dunlinpulley/dunlinpulley/internal/table"
 )
 
@@ -39,7 +40,8 @@
 type Options struct {
 	// URL is the base URL of the platform's API, such as http://10.0.0.1:7000.
 	URL string
-	// Timeout limits a request, including reading the reply.
+	// Timeout limits the time until the reply begins and the time without any byte of it. The size of a reply grows with
+	// what is stored, so that no limit of the whole call fits.
 	Timeout time.Duration
 	// DialTimeout limits the time to open a connection.
 	DialTimeout time.Duration
@@ -80,8 +82,8 @@
 // nothing was written, and StatusLost if the request may have been sent but no
 // valid reply was received, so that it may have been executed.
 func (c *Client) Do(ctx context.Context, r table.Request) table.Reply {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
-	defer cancel()
+	ctx, guard := silence.New(ctx, 0, c.options.Timeout)
+	defer guard.Stop()
 	body, err := json.Marshal(r)
 	if err != nil {
 		klog.ErrorS(err, "encoding the table request failed", "peer", c.options.URL)
@@ -91,7 +93,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	reply, err := c.sendTransaction(ctx, body)
+	reply, err := c.sendTransaction(ctx, guard, body)
 	if err == nil {
 		return reply
 	}
@@ -104,10 +106,10 @@
 	return table.Reply{Status: table.StatusLost}
 }
 
-func (c *Client) sendTransaction(ctx context.Context, body []byte) (table.Reply, error) {
+func (c *Client) sendTransaction(ctx context.Context, guard *silence.Guard, body []byte) (table.Reply, error) {
 	// http.Transport resends requests whose body can be rewound. Hiding the
 	// *bytes.Reader prevents that.
-	unrewindable := io.NopCloser(bytes.NewReader(body))
+	unrewindable := guard.Body(io.NopCloser(bytes.NewReader(body)))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.options.URL+table.TransactPath, unrewindable)
 	if err != nil {
 		return table.Reply{}, errors.Wrapf(err, "transact: build request to %s", c.options.URL)
@@ -119,6 +121,7 @@
 		return table.Reply{}, errors.Wrapf(err, "transact: send request to %s", c.options.URL)
 	}
 	defer response.Body.Close()
+	response.Body = guard.Body(response.Body)
 	return c.parseResponse(response)
 }
 
@@ -152,8 +155,8 @@
 
 // Hosts returns the platform's list of hosts. Hosts in unknown states are left out.
 func (c *Client) Hosts(ctx context.Context) ([]table.Host, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
-	defer cancel()
+	ctx, guard := silence.New(ctx, 0, c.options.Timeout)
+	defer guard.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.options.URL+table.HostsPath, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "hosts: build request to %s", c.options.URL)
@@ -168,7 +171,7 @@
 		discardBody(response.Body)
 		return nil, errors.Newf("hosts: status %d from %s", response.StatusCode, c.options.URL)
 	}
-	data, err := readLimited(response.Body)
+	data, err := readLimited(guard.Body(response.Body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "hosts: read reply of %s", c.options.URL)
 	}
