--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -36,8 +36,9 @@
 	// blamesInterval is the time between two digests that list the blamed prompt parts while nothing has
 	// changed of crashes. It is below the time for which a process that has started makes no probe.
 	blamesInterval = 800 * time.Millisecond
-	// maxDatagram is the size of the receive buffer, and so of the largest digest, in bytes.
-	maxDatagram = 8192
+	// maxDatagram is the size of the receive buffer, and so of the largest digest, in bytes: the largest payload of UDP
+	// over IPv4.
+	maxDatagram = 65_507
 )
 
 // DigestHandler provides this process's digests and receives those of its peers.
