--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -42,7 +42,18 @@
 	eventGapTarget time.Duration                 // longest gap between two events
 	timeout        time.Duration                 // caller's timeout
 	rate           func(t time.Duration) float64 // requests per second at time t
-	crashing       bool                          // its prompts have crashers.part instead of a session's
+	// lowerTierShare is the share of the requests whose accounts are of the second tier: tierRanks is added to their ranks.
+	lowerTierShare float64
+	crashing       bool // its prompts have crashers.part instead of a session's
+}
+
+// tierRanks is the number of ranks of each account tier.
+const tierRanks = 3
+
+// mixedTiers returns a workload whose ranks are those of accounts of two tiers, half of the requests each.
+func mixedTiers(wl workload) workload {
+	wl.rank, wl.lowerTierShare = wl.rank%tierRanks, 0.5
+	return wl
 }
 
 // constantRate returns an arrival rate that does not change.
@@ -284,10 +295,14 @@
 	systemPrompt := uint64(number%4) + uint64(len(wl.name))<<30
 	sim.parts++
 	outputTokens := max(1, sim.exponential(wl.outputTokens))
+	rank := wl.rank
+	if wl.lowerTierShare > 0 && sim.rng.Float64() < wl.lowerTierShare {
+		rank += tierRanks
+	}
 	q := &request{
 		kind: wl.name, gateway: sim.pickGateway(), arrived: sim.now, eventGapTarget: wl.eventGapTarget, timeout: wl.timeout, outputTokens: outputTokens,
 		query: placement.Query{
-			Service: modelService, Rank: wl.rank, Target: wl.target, GapTarget: wl.eventGapTarget, MaxTokens: maxLengthFactor * wl.outputTokens, ExpectedTokens: sim.estimateTokens(outputTokens),
+			Service: modelService, Rank: rank, Target: wl.target, GapTarget: wl.eventGapTarget, MaxTokens: maxLengthFactor * wl.outputTokens, ExpectedTokens: sim.estimateTokens(outputTokens),
 			Deadline: sim.instant().Add(wl.timeout),
 			Parts: []placement.Part{
 				{ID: systemPrompt, Tokens: wl.systemPrompt}, {ID: session, Tokens: wl.sessionTokens}, {ID: sim.parts, Tokens: max(1, sim.exponential(wl.uniqueTokens))},
