--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -19,7 +19,15 @@
 	r.crashPart, r.crashed = part, crashed
 }
 
-// Crashes returns when the process crashed because of the prompt part so far.
+// CrashOnTarget sets the request target of requests that crash the replica when it begins to run them; empty for none. The rest is as with
+// CrashOn, which can be used beside it.
+func (r *Replica) CrashOnTarget(target string, crashed func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashTarget, r.crashed = target, crashed
+}
+
+// Crashes returns when the process crashed because of a request so far.
 func (r *Replica) Crashes() []time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,13 +53,29 @@
 	return false
 }
 
-// crashOn ends the process if the prompt of a request has the part that crashes it, and reports whether it did.
-func (r *Replica) crashOn(request *http.Request) bool {
+// crashOnPart ends the process if the prompt of a request has the part that crashes it, and reports whether it did.
+func (r *Replica) crashOnPart(request *http.Request) bool {
+	r.mu.Lock()
+	part := r.crashPart
+	r.mu.Unlock()
+	return HasCrashingPart(request.Header, part) && r.crash()
+}
+
+// crashOnTarget ends the process after a delay if the target of a request crashes it, and reports whether it did.
+func (r *Replica) crashOnTarget(request *http.Request, delay time.Duration) bool {
 	r.mu.Lock()
-	if !HasCrashingPart(request.Header, r.crashPart) {
-		r.mu.Unlock()
+	target := r.crashTarget
+	r.mu.Unlock()
+	if target == "" || request.RequestURI != target {
 		return false
 	}
+	time.Sleep(delay)
+	return r.crash()
+}
+
+// crash ends the process and starts it again. It returns true.
+func (r *Replica) crash() bool {
+	r.mu.Lock()
 	now := time.Now()
 	r.crashes = append(r.crashes, now)
 	r.downUntil, r.born = now.Add(crashDowntime), max(now.UnixMilli(), r.born+1)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -85,11 +85,13 @@
 	version    string  // named in the data of each stream event; empty for none
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
-	extra      string      // header lines added to each response
-	crashPart  string      // identifier of the prompt part that crashes the process; empty for none
-	crashed    func()      // called after each crash by it
-	downUntil  time.Time   // end of the time in which the process is gone after a crash
-	crashes    []time.Time // by the prompt part
+	extra      string // header lines added to each response
+	crashPart  string // identifier of the prompt part that crashes the process; empty for none
+	// crashTarget is the request target that crashes the process; empty for none.
+	crashTarget string
+	crashed     func()      // called after each crash
+	downUntil   time.Time   // end of the time in which the process is gone after a crash
+	crashes     []time.Time // by requests
 }
 
 // Arrival is a request that reached a replica, executed or not.
@@ -97,6 +99,7 @@
 	At time.Time
 	// ID identifies the client's request; all attempts of a gateway to answer it have the same.
 	ID     string
+	Target string // request target as received
 	Header http.Header
 	// Limit is the limit that the response named; 0 if it named none.
 	Limit float64
@@ -286,6 +289,9 @@
 	r.mu.Lock()
 	r.executions = append(r.executions, Execution{ID: id, Method: request.Method, Target: request.RequestURI, Body: body, Header: request.Header})
 	r.mu.Unlock()
+	if r.crashOnTarget(request, delay) {
+		return false
+	}
 	switch fault {
 	case Reset:
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -359,7 +365,7 @@
 func (r *Replica) recordArrival(request *http.Request) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), ID: request.Header.Get("X-Attempt-Id"), Header: request.Header, Limit: r.limit})
+	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Header: request.Header, Limit: r.limit})
 	lines := r.extra
 	if r.fault == NotRun && r.pause > 0 {
 		r.arrivals[len(r.arrivals)-1].Pause = r.pause
@@ -423,7 +429,7 @@
 	if fault == EmptyStream {
 		return false
 	}
-	if r.crashOn(request) {
+	if r.crashOnPart(request) {
 		return false
 	}
 	for n := lastID + 1; n <= streamEvents; n++ {
