--- a/internal/crashblame/doc.go
+++ b/internal/crashblame/doc.go
@@ -1,6 +1,7 @@
-// Package crashblame finds prompt parts under which endpoints crash, and says which requests
+// Package crashblame finds requests and prompt parts under which endpoints crash, and says which requests
 // must not be sent because of them. An endpoint crashes when it begins to write an answer to a prompt
-// with such a part, whatever else the prompt holds, and every request that runs there is lost with it.
+// with such a part, whatever else the prompt holds, or when it begins to run such a request, which comes again as it
+// was. Every request that runs there is lost with it. A whole request counts as one more part of itself.
 //
 // A Ledger holds what one process knows. The invariants:
 //
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -25,7 +25,7 @@
 	maxSuspects = 4096
 )
 
-// Part identifies a prompt part.
+// Part identifies what a request has in common with others: a prompt part, or the whole request (see RequestPart).
 type Part uint64
 
 // Process identifies one process of an endpoint: the low 32 bits of the hash of the endpoint's
@@ -39,6 +39,8 @@
 type Run struct {
 	process Process
 	parts   []Part
+	request Part           // the whole request; 0 while it is of no interest
+	plain   bool           // whether the answer is no stream
 	begun   bool           // whether the head of the answer has arrived
 	firstAt domain.Instant // first event; 0 before it
 	proven  bool
@@ -65,20 +67,22 @@
 
 // Ledger is what a process knows of parts and crashes. It is not safe for concurrent use.
 type Ledger struct {
-	settling map[*Run]bool              // complete answers that have not settled
-	heard    map[Process]domain.Instant // last arrival of a part of an answer from each process
-	proofs   map[Part]domain.Instant
-	suspects map[Part]*suspicion
-	blames   map[Part]*blame
-	crashes  []crash                 // of the last newsTime, oldest first
-	cleared  map[Part]domain.Instant // parts to tell peers that they are proven, and since when
-	probing  prober
+	settling  map[*Run]bool              // complete answers that have not settled
+	heard     map[Process]domain.Instant // last arrival of a part of an answer from each process
+	proofs    map[Part]domain.Instant
+	suspects  map[Part]*suspicion
+	blames    map[Part]*blame
+	heads     map[uint32]domain.Instant  // of suspected and blamed parts, and since when; see KnowsHead
+	explained map[Process]domain.Instant // processes that crashed under what was blamed already, and when
+	crashes   []crash                    // of the last newsTime, oldest first
+	cleared   map[Part]domain.Instant    // parts to tell peers that they are proven, and since when
+	probing   prober
 }
 
 // New returns a ledger that knows nothing. startedAt is the start of this process.
 func New(startedAt domain.Instant) *Ledger {
 	return &Ledger{
-		settling: make(map[*Run]bool), heard: make(map[Process]domain.Instant), proofs: make(map[Part]domain.Instant), suspects: make(map[Part]*suspicion), blames: make(map[Part]*blame),
+		settling: make(map[*Run]bool), heard: make(map[Process]domain.Instant), heads: make(map[uint32]domain.Instant), explained: make(map[Process]domain.Instant), proofs: make(map[Part]domain.Instant), suspects: make(map[Part]*suspicion), blames: make(map[Part]*blame),
 		cleared: make(map[Part]domain.Instant), probing: prober{startedAt: startedAt},
 	}
 }
@@ -89,8 +93,11 @@
 	return &Run{process: process, parts: parts}
 }
 
-// Begun records that the head of a run's answer has arrived. A request whose answer has not begun
-// when its endpoint is lost is no cause of that.
+// Identify sets the part that is the whole request of a run. plain is whether the answer is no stream.
+func (l *Ledger) Identify(r *Run, request Part, plain bool) { r.request, r.plain = request, plain }
+
+// Begun records that the head of a run's answer has arrived. The prompt parts of a request whose answer has not begun
+// when its endpoint is lost are no cause of that.
 func (l *Ledger) Begun(now domain.Instant, r *Run) {
 	r.begun = true
 	l.Heard(now, r.process)
@@ -104,7 +111,7 @@
 	}
 	if !r.proven && r.settled(now) {
 		r.proven = true
-		l.prove(now, r.parts)
+		l.prove(now, r.all())
 	}
 }
 
@@ -113,7 +120,12 @@
 // complete before its prompt crashes the endpoint.
 func (l *Ledger) Completed(now domain.Instant, r *Run) {
 	l.Begun(now, r)
-	if len(r.parts) == 0 || r.proven {
+	if r.plain && r.request != 0 {
+		// A plain answer comes when the run has ended.
+		l.prove(now, []Part{r.request})
+		return
+	}
+	if len(r.all()) == 0 || r.proven {
 		return
 	}
 	if r.firstAt == 0 {
@@ -130,9 +142,15 @@
 	if r.begun && !r.proven {
 		parts = append(parts, r.parts...)
 	}
+	if l.blamedBefore(now, r) {
+		l.explained[r.process] = now
+	}
+	if _, explained := l.explained[r.process]; r.request != 0 && !r.proven && !explained {
+		parts = append(parts, r.request)
+	}
 	for other := range l.settling {
 		if other.process == r.process && l.heard[r.process].Sub(other.firstAt) < settleTime {
-			parts = append(parts, other.parts...)
+			parts = append(parts, other.all()...)
 			delete(l.settling, other)
 		}
 	}
@@ -192,7 +210,7 @@
 		switch {
 		case l.heard[r.process].Sub(r.firstAt) >= settleTime:
 			delete(l.settling, r)
-			l.prove(now, r.parts)
+			l.prove(now, r.all())
 		case now.Sub(r.firstAt) >= provenTime:
 			delete(l.settling, r)
 		}
@@ -214,6 +232,8 @@
 	}
 	l.expireNews(now)
 	l.expireBlames(now)
+	l.expireHeads(now)
+	l.expireExplained(now)
 }
 
 // prove records that an endpoint went on writing under parts.
@@ -236,6 +256,7 @@
 
 // suspect counts a crash under a part and reports whether that is what makes it blamed.
 func (l *Ledger) suspect(now domain.Instant, p Part, process Process) bool {
+	l.learnHead(now, p)
 	if l.blames[p] != nil {
 		return false
 	}
--- a/internal/crashblame/model_test.go
+++ b/internal/crashblame/model_test.go
@@ -22,6 +22,7 @@
 	gateway  *modelGateway
 	run      *Run
 	parts    []Part
+	request  Part // whole plain request; 0 for prompts
 	endpoint int
 	beginsAt domain.Instant // first event
 	endsAt   domain.Instant
@@ -37,8 +38,9 @@
 	downUntil []domain.Instant // of each endpoint
 	runs      []*modelRun
 	crashes   int            // under badPart
-	fifthAt   domain.Instant // of these
-	late      int            // requests with badPart sent by gateways in touch later than contactTime after the fifth crash
+	learnAt   int            // number of crashes by which the gateways have to know
+	learntAt  domain.Instant // of the last of these
+	late      int            // requests with badPart sent by gateways in touch later than contactTime after learntAt
 	soundSent int            // from twice contactTime after the last crash under badPart on
 	soundMade int            // of these, begun
 	numbers   uint64
@@ -56,7 +58,7 @@
 // newModel returns a model of a number of endpoints at least, which is disturbed once in a number of steps on
 // average.
 func newModel(t *rapid.T, minEndpoints, disturbedEvery int) *model {
-	m := &model{t: t, now: start, disturbedEvery: disturbedEvery}
+	m := &model{t: t, now: start, disturbedEvery: disturbedEvery, learnAt: 5}
 	for range rapid.IntRange(1, 6).Draw(t, "gateways") {
 		m.gateways = append(m.gateways, m.newGateway())
 	}
@@ -86,16 +88,20 @@
 }
 
 // send sends a request of parts from a gateway to a random endpoint, and again to another if it is lost.
-func (m *model) send(g *modelGateway, parts []Part, sound bool) {
-	v := g.ledger.Admit(m.now, parts)
-	if sound && m.fifthAt > 0 && m.now.Sub(m.fifthAt) > 2*contactTime && m.now >= g.inTouch {
+func (m *model) send(g *modelGateway, parts []Part, request Part, sound bool) {
+	blamable := parts
+	if request != 0 {
+		blamable = []Part{request}
+	}
+	v := g.ledger.Admit(m.now, blamable)
+	if sound && m.learntAt > 0 && m.now.Sub(m.learntAt) > 2*contactTime && m.now >= g.inTouch {
 		m.soundSent++
 		if !v.Refused {
 			m.soundMade++
 		}
 	}
 	if !v.Refused {
-		sent := m.place(g, parts, sound)
+		sent := m.place(g, parts, request, sound)
 		if v.Probe {
 			g.ledger.EndProbe(v.Blamed, sent)
 		}
@@ -103,7 +109,7 @@
 }
 
 // place sends a request to a random endpoint and reports whether one was up.
-func (m *model) place(g *modelGateway, parts []Part, sound bool) bool {
+func (m *model) place(g *modelGateway, parts []Part, request Part, sound bool) bool {
 	var up []int
 	for i, until := range m.downUntil {
 		if until <= m.now {
@@ -113,13 +119,15 @@
 	if len(up) == 0 {
 		return false
 	}
-	if !sound && m.fifthAt > 0 && m.now.Sub(m.fifthAt) > contactTime && m.now >= g.inTouch {
+	if !sound && m.learntAt > 0 && m.now.Sub(m.learntAt) > contactTime && m.now >= g.inTouch {
 		m.late++
 	}
 	endpoint := rapid.SampledFrom(up).Draw(m.t, "endpoint")
 	begins := m.now.Add(time.Duration(rapid.IntRange(20, 300).Draw(m.t, "first event")) * time.Millisecond)
+	run := g.ledger.Sent(Process{Endpoint: uint32(endpoint), Start: m.starts[endpoint]}, parts)
+	g.ledger.Identify(run, request, request != 0)
 	m.runs = append(m.runs, &modelRun{
-		gateway: g, run: g.ledger.Sent(Process{Endpoint: uint32(endpoint), Start: m.starts[endpoint]}, parts), parts: parts, endpoint: endpoint,
+		gateway: g, run: run, parts: parts, request: request, endpoint: endpoint,
 		beginsAt: begins, endsAt: begins.Add(time.Duration(rapid.IntRange(20, 900).Draw(m.t, "length")) * time.Millisecond), sound: sound,
 	})
 	return true
@@ -141,8 +149,8 @@
 	m.runs = kept
 	for _, r := range lost {
 		r.gateway.ledger.Lost(m.now, r.run)
-		if r.gateway.ledger.MayRetry(r.parts) && rapid.Bool().Draw(m.t, "again") {
-			m.place(r.gateway, r.parts, r.sound)
+		if r.gateway.ledger.MayRetry(r.run.all()) && rapid.Bool().Draw(m.t, "again") {
+			m.place(r.gateway, r.parts, r.request, r.sound)
 		}
 	}
 }
@@ -154,12 +162,13 @@
 		r := m.runs[i]
 		switch {
 		case r.beginsAt > m.now:
-		case !r.run.begun:
+		case r.request != 0 && r.sound && r.endsAt > m.now:
+		case r.request == 0 && !r.run.begun:
 			r.gateway.ledger.Begun(m.now, r.run)
 		case !r.sound && m.now.Sub(r.beginsAt) >= 40*time.Millisecond:
 			m.crashes++
-			if m.crashes == 5 {
-				m.fifthAt = m.now
+			if m.crashes == m.learnAt {
+				m.learntAt = m.now
 			}
 			m.crash(r.endpoint)
 			i = -1
@@ -241,10 +250,10 @@
 			gateway := func() *modelGateway { return rapid.SampledFrom(m.gateways).Draw(t, "gateway") }
 			for range 2 {
 				session := Part(10 + rapid.IntRange(0, 20).Draw(t, "session"))
-				m.send(gateway(), []Part{firstPart, session}, true)
+				m.send(gateway(), []Part{firstPart, session}, 0, true)
 			}
 			if n > 100 && n%every == 0 {
-				m.send(gateway(), []Part{firstPart, badPart}, false)
+				m.send(gateway(), []Part{firstPart, badPart}, 0, false)
 			}
 			m.step()
 		}
@@ -256,3 +265,30 @@
 		}
 	})
 }
+
+// TestCrashesUnderARequestAreBounded plays a plain request that crashes endpoints and comes again at any gateway, beside sound ones that come again
+// too, with the same disturbances. From the third crash on, gateways in touch send at most three more copies.
+func TestCrashesUnderARequestAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 4, 34)
+		m.learnAt = 3
+		every := rapid.IntRange(3, 60).Draw(t, "steps between copies")
+		for n := 1; n <= 1200; n++ {
+			m.disturb()
+			gateway := func() *modelGateway { return rapid.SampledFrom(m.gateways).Draw(t, "gateway") }
+			for range 2 {
+				m.send(gateway(), nil, Part(10+rapid.IntRange(0, 20).Draw(t, "request")), true)
+			}
+			if n > 100 && n%every == 0 {
+				m.send(gateway(), nil, badPart, false)
+			}
+			m.step()
+		}
+		if m.late > 3 {
+			t.Fatalf("%d copies were sent after the third crash, at most 3 may; %d crashes", m.late, m.crashes)
+		}
+		if m.soundSent >= 20 && 2*m.soundMade < m.soundSent {
+			t.Fatalf("%d of %d sound requests were sent", m.soundMade, m.soundSent)
+		}
+	})
+}
--- a/internal/crashblame/news.go
+++ b/internal/crashblame/news.go
@@ -11,7 +11,7 @@
 	// newsTime is how long a crash or a proof is told to peers, so that lost messages don't matter.
 	newsTime = 3 * time.Second
 	// maxPartsOfCrash bounds the parts that one process reports of one crash.
-	maxPartsOfCrash = 32
+	maxPartsOfCrash = 64
 	// maxNewsCrashes and maxNewsCleared bound the crashes and proofs in one message.
 	maxNewsCrashes, maxNewsCleared = 16, 64
 )
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,8 @@
 	streamRecorded                  bool                   // whether recordStream has been called
 	lastEventID                     string                 // ID of the last stream event forwarded
 	sharedParts                     []crashblame.Part      // parts of the prompt that other requests can have too
+	requestHead                     uint32                 // first half of the request's identity
+	requestPart                     crashblame.Part        // the request's identity; 0 while it is not computed
 	probedPart                      crashblame.Part        // part that is blamed and that the request probes; 0 if it is no probe
 	probeEnded                      bool                   // whether endProbe has been called
 	picks                           int                    // number of times that the queue tried to place the request, if it was not placed
@@ -119,7 +121,11 @@
 	c.rank = c.config.Rank(c.route, c.account)
 	c.sharedParts = sharedParts(c.request.Parts)
 	g.setDeadline(c)
-	return g.readBody(c)
+	if !g.readBody(c) {
+		return false
+	}
+	c.requestHead = c.identity().Head()
+	return true
 }
 
 // setDeadline sets the request's time limits and estimates how long the caller
@@ -189,7 +195,7 @@
 	}
 	for {
 		if !g.admitParts(c) {
-			g.failCall(c, causePartBlamed)
+			g.failCall(c, causeBlamed)
 			return
 		}
 		ticket, reason := g.place(ctx, c, service)
@@ -242,7 +248,7 @@
 		}
 	}
 	if end == attemptFailed && !g.mayRetryParts(c) {
-		c.cause += ", endpoints have crashed under its prompt"
+		c.cause += ", endpoints have crashed under it"
 		return false
 	}
 	if !g.takeRetry(service) {
--- a/internal/gateway/crashblame.go
+++ b/internal/gateway/crashblame.go
@@ -13,10 +13,45 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
+	"github.com/dunlinpulley/dunlinpulley/internal/routing"
 )
 
-// causePartBlamed is why a request with a blamed part is rejected.
-const causePartBlamed = "endpoints crash under a part of its prompt"
+// causeBlamed is why a request is rejected that is blamed, or a part of its prompt.
+const causeBlamed = "endpoints crash under it or a part of its prompt"
+
+// identity returns what identifies the request.
+func (c *call) identity() crashblame.Request {
+	r := crashblame.Request{Method: c.http.Method, Host: c.http.Host, Target: c.http.RequestURI, Body: c.body}
+	if c.account != nil {
+		r.Caller = c.account.Name
+	}
+	for _, p := range c.request.Parts {
+		r.Parts = append(r.Parts, crashblame.Part(p.ID))
+	}
+	return r
+}
+
+// identify computes the request's identity if a suspected or blamed request may have it.
+func (g *Gateway) identify(c *call) {
+	if c.requestPart != 0 {
+		return
+	}
+	g.mu.Lock()
+	known := g.crashes.KnowsHead(c.requestHead)
+	g.mu.Unlock()
+	if known {
+		c.requestPart = c.identity().Part(c.requestHead)
+	}
+}
+
+// crashParts returns what crashes of endpoints can be blamed on: the shared parts of the prompt, and the request if its
+// identity is computed.
+func (c *call) crashParts() []crashblame.Part {
+	if c.requestPart == 0 {
+		return c.sharedParts
+	}
+	return append(slices.Clone(c.sharedParts), c.requestPart)
+}
 
 // sharedParts returns the parts of a prompt that other requests can have too: all but the last one.
 func sharedParts(parts []placement.Part) []crashblame.Part {
@@ -32,22 +67,27 @@
 	return shared
 }
 
-// admitParts reports whether a request may be sent to an endpoint, as far as the parts of its prompt go.
+// admitParts reports whether a request may be sent to an endpoint, as far as crashes under it and the parts of its prompt go.
 func (g *Gateway) admitParts(c *call) bool {
-	if len(c.sharedParts) == 0 || c.probedPart != 0 {
+	if c.probedPart != 0 {
+		return true
+	}
+	g.identify(c)
+	parts := c.crashParts()
+	if len(parts) == 0 {
 		return true
 	}
 	g.mu.Lock()
-	v := g.crashes.Admit(g.now(), c.sharedParts)
+	v := g.crashes.Admit(g.now(), parts)
 	g.mu.Unlock()
 	switch {
 	case v.Refused:
 		c.retryAfter = v.Wait
 		g.instruments.partRejections.Inc(1)
-		klog.InfoS("prompt part blamed", "request", c.request.ID, "part", formatPart(v.Blamed), "wait", v.Wait)
+		klog.InfoS("request blamed", "request", c.request.ID, "part", formatPart(v.Blamed), "whole", v.Blamed == c.requestPart, "wait", v.Wait)
 	case v.Probe:
 		c.probedPart = v.Blamed
-		klog.InfoS("prompt part probed", "request", c.request.ID, "part", formatPart(v.Blamed))
+		klog.InfoS("blame probed", "request", c.request.ID, "part", formatPart(v.Blamed), "whole", v.Blamed == c.requestPart)
 	}
 	return !v.Refused
 }
@@ -57,7 +97,7 @@
 func (g *Gateway) mayRetryParts(c *call) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return c.probedPart == 0 && g.crashes.MayRetry(c.sharedParts)
+	return c.probedPart == 0 && g.crashes.MayRetry(c.crashParts())
 }
 
 // process returns the endpoint's process that the attempt is made at.
@@ -81,6 +121,12 @@
 	defer a.gateway.mu.Unlock()
 	a.gateway.endProbe(a.call, true)
 	a.run = a.gateway.crashes.Sent(a.process(), a.call.sharedParts)
+	a.identifyRun()
+}
+
+// identifyRun passes the request's identity on to the crash records, if it is computed. The caller must hold g.mu.
+func (a *attempt) identifyRun() {
+	a.gateway.crashes.Identify(a.run, a.call.requestPart, a.call.route.Kind != routing.KindStream)
 }
 
 // recordBegun records that the head of the answer has arrived.
@@ -104,17 +150,24 @@
 	if a.run == nil {
 		return
 	}
+	answered := end == attemptAnswered && result == placement.ResultServed
+	lost := end == attemptFailed && result == placement.ResultUnreachable && ctx.Err() == nil && a.endedByPeer
+	if lost && a.call.requestPart == 0 {
+		a.call.requestPart = a.call.identity().Part(a.call.requestHead)
+	}
+	g.identify(a.call)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	a.identifyRun()
 	switch {
-	case end == attemptAnswered && result == placement.ResultServed:
+	case answered:
 		g.crashes.Completed(now, a.run)
-	case end == attemptFailed && result == placement.ResultUnreachable && ctx.Err() == nil && a.endedByPeer:
+	case lost:
 		suspected, blamed := g.crashes.Lost(now, a.run)
 		if len(suspected) > 0 {
 			g.instruments.partsSuspected.Inc(int64(len(suspected)))
-			klog.InfoS("endpoint lost", "request", a.call.request.ID, "endpoint", a.ticket.Endpoint.ID, "start", a.ticket.Endpoint.Start, "suspected", formatParts(suspected))
+			klog.InfoS("endpoint lost", "request", a.call.request.ID, "endpoint", a.ticket.Endpoint.ID, "start", a.ticket.Endpoint.Start, "suspected", formatParts(suspected), "whole", formatPart(a.call.requestPart))
 		}
 		g.logBlamed(blamed, "")
 	default:
@@ -163,7 +216,7 @@
 func (g *Gateway) logBlamed(parts []crashblame.Part, peer string) {
 	for _, p := range parts {
 		g.instruments.partsBlamed.Inc(1)
-		klog.InfoS("prompt part crashes endpoints", "part", formatPart(p), "peer", peer)
+		klog.InfoS("endpoints crash under", "part", formatPart(p), "peer", peer)
 	}
 }
 
--- a/internal/gateway/endpointpause.go
+++ b/internal/gateway/endpointpause.go
@@ -43,7 +43,7 @@
 }
 
 // withdrawn returns why a request must not be sent any more, as the endpoint has said since its placement that
-// it takes none, or a part of the prompt has been blamed; empty if it may be sent.
+// it takes none, or the request or a part of the prompt has been blamed; empty if it may be sent.
 func (a *attempt) withdrawn() string {
 	g, c := a.gateway, a.call
 	g.mu.Lock()
@@ -51,8 +51,8 @@
 	switch {
 	case g.table.Withdrawn(g.now(), a.ticket):
 		return "endpoint pauses or leaves"
-	case c.probedPart == 0 && g.crashes.IsBlamed(c.sharedParts):
-		return causePartBlamed
+	case c.probedPart == 0 && g.crashes.IsBlamed(c.crashParts()):
+		return causeBlamed
 	default:
 		return ""
 	}
