Soak: growing configurations, slow links and stores, requests that crash replicas and come again

TestSoakCrashes replaces TestSoakCrashingParts: it plays the same with prompt parts, and with a plain request that crashes replicas and comes again beside sound ones that do too. All runs get a slow link to the store (a reply with the largest configuration takes about three seconds of it), a store that takes up to 2 s more for each reply, and configurations that grow by 200 routes.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -40,6 +40,7 @@
 	after         int              // last event that the caller has of that stream
 	served        int              // serving replicas of the version that began that stream
 	parts         []placement.Part // of the prompt; empty for none
+	payload       string           // body of the request; empty for one that names the call
 	body          string
 	err           error // no response, or an incomplete one
 }
@@ -120,10 +121,18 @@
 	return result
 }
 
+// sentBody returns the body of the request.
+func (c call) sentBody() string {
+	if c.payload != "" {
+		return c.payload
+	}
+	return "body of " + c.id
+}
+
 // send sends a call to its gateway and adds the response to it.
 func (c *cluster) send(client *http.Client, result *call) {
 	result.sent = time.Now()
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[result.gateway].front+result.path, strings.NewReader("body of "+result.id))
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[result.gateway].front+result.path, strings.NewReader(result.sentBody()))
 	if err != nil {
 		result.err = err
 		return
@@ -185,7 +194,7 @@
 	if retryable && executions > 2 { // max_attempts of these routes in cluster.configure
 		c.t.Errorf("%s %s was executed %d times, more than the attempts that its route allows", result.id, result.path, executions)
 	}
-	if executions > 0 && body != "body of "+result.id {
+	if executions > 0 && body != result.sentBody() {
 		c.t.Errorf("%s was executed with body %q", result.id, body)
 	}
 	if refused(result) && executions > 0 && !retryable {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -49,6 +49,7 @@
 	gateways      []*process
 	peerIPs       []string // one for each gateway, as all use the same port
 	configVersion int
+	idleRoutes    int     // routes in the configuration that no caller uses
 	retryRatio    float64 // setting of the gateways
 
 	limits   []*limitPeriod
@@ -276,12 +277,15 @@
 			"service": "app", "max_attempts": attempts, "resumable": resumable,
 		}
 	}
+	routes := []any{
+		route("/once/", "non_idempotent", 1, false), route("/safe/", "idempotent", 2, false),
+		route("/stream/", "streaming", 1, false), route("/stream/resume/", "streaming", 2, true),
+	}
+	for i := range c.idleRoutes {
+		routes = append(routes, route(fmt.Sprintf("/idle-%d/", i), "idempotent", 1, false))
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": c.configVersion,
-		"routes": []any{
-			route("/once/", "non_idempotent", 1, false), route("/safe/", "idempotent", 2, false),
-			route("/stream/", "streaming", 1, false), route("/stream/resume/", "streaming", 2, true),
-		},
+		"version": c.configVersion, "routes": routes,
 		"services": []any{map[string]any{"name": "app", "max_connections": 200}},
 		"tenants":  []any{map[string]any{"name": "account", "api_keys": keys}},
 	})
--- a/internal/soak/promptparts_test.go
+++ b/internal/soak/crashes_test.go
@@ -21,12 +21,62 @@
 	crashingPart, sharedPart = 0xbad, 0xa1
 	// partTokens is the length of each part of a prompt, and promptMaxTokens that of an answer, in tokens.
 	partTokens, promptMaxTokens = 20, 8
-	// maxLateRequests is the number of requests with crashingPart that may reach replicas later than contactTime after
-	// the crash number crashesUntilLearnt.
-	maxLateRequests    = 3
-	crashesUntilLearnt = 5
+	// crashingTarget is the target of requests that crash replicas and come again with the same body.
+	crashingTarget = "/safe/crash"
+	// repeatedRequests is the number of sound requests that come again too.
+	repeatedRequests = 8
+	// maxLateRequests is the number of crashing requests that may reach replicas later than contactTime after the last
+	// crash by which gateways have to know.
+	maxLateRequests = 3
 )
 
+// crashKind is what crashes replicas in a run.
+type crashKind struct {
+	name string
+	// crashes is the number of crashes by which gateways have to know.
+	crashes int
+	// setUp makes a replica crash and calls crashed after each crash.
+	setUp func(r *replica.Replica, crashed func())
+	// crashing reports whether a request is one that crashes.
+	crashing func(a replica.Arrival) bool
+	// prepare makes a call of caller i: a crashing one of the first caller, a sound one of the others.
+	prepare func(result *call, i int, rng *rand.Rand)
+}
+
+// crashKinds are the kinds that are played.
+var crashKinds = []crashKind{
+	{
+		name: "part", crashes: 5,
+		setUp: func(r *replica.Replica, crashed func()) { r.CrashOn(strconv.FormatUint(crashingPart, 16), crashed) },
+		crashing: func(a replica.Arrival) bool {
+			return replica.HasCrashingPart(a.Header, strconv.FormatUint(crashingPart, 16))
+		},
+		prepare: func(result *call, i int, rng *rand.Rand) {
+			own := placement.Part{ID: rng.Uint64(), Tokens: partTokens}
+			session := placement.Part{ID: uint64(0x100 + rng.IntN(8)), Tokens: partTokens}
+			if i == 0 {
+				session.ID = crashingPart
+			}
+			result.path, result.parts = resumablePath, []placement.Part{{ID: sharedPart, Tokens: partTokens}, session, own}
+		},
+	},
+	{
+		name: "request", crashes: 3,
+		setUp:    func(r *replica.Replica, crashed func()) { r.CrashOnTarget(crashingTarget, crashed) },
+		crashing: func(a replica.Arrival) bool { return a.Target == crashingTarget },
+		prepare: func(result *call, i int, rng *rand.Rand) {
+			result.path = "/safe/x"
+			switch {
+			case i == 0:
+				result.path, result.payload = crashingTarget, "same"
+			case rng.IntN(2) == 0:
+				result.payload = fmt.Sprintf("repeated %d", rng.IntN(repeatedRequests))
+			default:
+			}
+		},
+	},
+}
+
 // crashActions are the actions of TestSoakCrashingParts that actions doesn't have. Between the restarts of two
 // gateways there is time for a digest: what is blamed is kept by the gateways only.
 var crashActions = []action{
@@ -55,26 +105,28 @@
 // say something of themselves are left out, as a replica that crashes forgets it.
 var crashActionNames = []string{
 	"replica fault set", "replica fault cleared", "replica faults cleared", "all replicas refuse or fail", "replica delay set", "network drops open connections' data",
-	"network drops one direction", "network resets connections", "network delay set", "network faults cleared", "store down", "store up", "store history lost", "configuration",
+	"network drops one direction", "network resets connections", "network delay set", "network faults cleared", "store down", "store up", "store slow", "store prompt", "link to the store slow", "configuration grows", "store history lost", "configuration",
 }
 
-// TestSoakCrashingParts runs each seed of -soak.seeds with prompts of which one part crashes replicas, beside
-// crashes of other causes, restarts of gateways one after the other, and faults of replicas, network and store.
-func TestSoakCrashingParts(t *testing.T) {
+// TestSoakCrashes runs each seed of -soak.seeds with prompts of which one part crashes replicas, and with a request that
+// does and comes again, beside crashes of other causes, restarts of gateways one after the other, and faults of replicas, network and store.
+func TestSoakCrashes(t *testing.T) {
 	program := buildRouter(t)
-	for _, seed := range parseSeeds(t, *randomSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runCrashSeed(t, program, seed)
-		})
+	for _, kind := range crashKinds {
+		for _, seed := range parseSeeds(t, *randomSeeds) {
+			t.Run(fmt.Sprintf("%s/%d", kind.name, seed), func(t *testing.T) {
+				t.Parallel()
+				runCrashSeed(t, program, kind, seed)
+			})
+		}
 	}
 }
 
-func runCrashSeed(t *testing.T, program string, seed uint64) {
+func runCrashSeed(t *testing.T, program string, kind crashKind, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, seed+1))
 	c := startCluster(t, program, 3, 4+rng.IntN(5), retryRatios[1], false)
 	for _, r := range c.replicas {
-		r.CrashOn(strconv.FormatUint(crashingPart, 16), func() {
+		kind.setUp(r, func() {
 			c.mu.Lock()
 			c.starts[r.ID] = r.Born()
 			c.mu.Unlock()
@@ -83,7 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
-	made := c.startPromptCallers(ctx, rng.Uint64(), time.Duration(100+rng.IntN(400))*time.Millisecond)
+	made := c.startCrashCallers(ctx, kind, rng.Uint64(), time.Duration(100+rng.IntN(400))*time.Millisecond)
 	played := slices.Clone(crashActions)
 	for _, a := range actions {
 		if slices.Contains(crashActionNames, a.name) {
@@ -100,7 +152,7 @@
 	calls := made()
 	c.checkCalls(calls)
 	c.checkRetries(calls)
-	c.checkCrashes(calls)
+	c.checkCrashes(kind, calls)
 	for _, g := range c.gateways {
 		c.waitServing(g)
 	}
@@ -111,9 +163,9 @@
 	}
 }
 
-// startPromptCallers starts callers with sound prompts and one whose prompts have crashingPart, which waits between
+// startCrashCallers starts callers with sound requests and one with crashing ones, which waits between
 // its calls. The returned function waits for their end and returns the calls.
-func (c *cluster) startPromptCallers(ctx context.Context, seed uint64, wait time.Duration) func() []call {
+func (c *cluster) startCrashCallers(ctx context.Context, kind crashKind, seed uint64, wait time.Duration) func() []call {
 	var (
 		wg    sync.WaitGroup
 		mu    sync.Mutex
@@ -125,14 +177,12 @@
 			client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
-				result := call{id: fmt.Sprintf("p%d-%d", i, n), path: resumablePath, key: permanentKey, gateway: rng.IntN(len(c.gateways))}
-				own := placement.Part{ID: rng.Uint64(), Tokens: partTokens}
-				session := placement.Part{ID: uint64(0x100 + rng.IntN(8)), Tokens: partTokens}
+				result := call{id: fmt.Sprintf("p%d-%d", i, n), key: permanentKey, gateway: rng.IntN(len(c.gateways))}
+				kind.prepare(&result, i, rng)
 				pause := time.Duration(rng.IntN(60)) * time.Millisecond
 				if i == 0 {
-					session.ID, pause = crashingPart, wait
+					pause = wait
 				}
-				result.parts = []placement.Part{{ID: sharedPart, Tokens: partTokens}, session, own}
 				c.send(client, &result)
 				mu.Lock()
 				calls = append(calls, result)
@@ -147,22 +197,22 @@
 	}
 }
 
-// checkCrashes checks that from contactTime after the fifth crash under crashingPart on, few requests with it
+// checkCrashes checks that from contactTime after the last crash by which gateways have to know, few crashing requests
 // reach replicas from gateways in touch, and that some sound requests are served. Not counted are requests that
 // the network held back.
-func (c *cluster) checkCrashes(calls []call) {
+func (c *cluster) checkCrashes(kind crashKind, calls []call) {
 	var crashes []time.Time
 	for _, r := range c.replicas {
 		crashes = append(crashes, r.Crashes()...)
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
 	late, ids := 0, []string{}
-	if len(crashes) >= crashesUntilLearnt {
-		learnt := crashes[crashesUntilLearnt-1].Add(contactTime)
+	if len(crashes) >= kind.crashes {
+		learnt := crashes[kind.crashes-1].Add(contactTime)
 		for i, r := range c.replicas {
 			for _, a := range r.Arrivals() {
 				gateway, err := strconv.Atoi(a.Header.Get(gatewayHeader))
-				if err != nil || !replica.HasCrashingPart(a.Header, strconv.FormatUint(crashingPart, 16)) || a.At.Before(learnt) ||
+				if err != nil || !kind.crashing(a) || a.At.Before(learnt) ||
 					c.gateways[gateway].disturbed.within(a.At.Add(-contactTime), a.At) || c.heldBack[i+1].within(a.At.Add(-contactTime), a.At) {
 					continue
 				}
@@ -172,10 +222,12 @@
 		}
 	}
 	if late > maxLateRequests {
-		c.t.Errorf("%d requests with the crashing part reached replicas after the fifth of %d crashes: %v", late, len(crashes), ids)
+		c.t.Errorf("%d crashing requests reached replicas late, %d crashes: %v", late, len(crashes), ids)
 		c.logCalls(ids)
 	}
-	sound := func(result call) bool { return result.parts[1].ID != crashingPart }
+	sound := func(result call) bool {
+		return result.path != crashingTarget && (len(result.parts) == 0 || result.parts[1].ID != crashingPart)
+	}
 	served := countCalls(calls, func(result call) bool { return sound(result) && succeeded(result) })
 	c.logf("%d crashes, %d late; %d of %d sound calls served", len(crashes), late, served, countCalls(calls, sound))
 	if served == 0 {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -120,6 +120,13 @@
 		time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
 		c.writeAgain()
 	}},
+	{"store slow", func(c *cluster, rng *rand.Rand) { c.store.SetDelay(time.Duration(rng.IntN(2000)) * time.Millisecond) }},
+	{"store prompt", func(c *cluster, _ *rand.Rand) { c.store.SetDelay(0) }},
+	{"link to the store slow", func(c *cluster, rng *rand.Rand) { c.relays[0].SetRate(minLinkRate + rng.IntN(minLinkRate)) }},
+	{"configuration grows", func(c *cluster, _ *rand.Rand) {
+		c.idleRoutes = min(c.idleRoutes+routesAdded, maxIdleRoutes)
+		c.configure(permanentKey, c.temporaryKey())
+	}},
 	{"store history lost", func(c *cluster, _ *rand.Rand) { c.store.DropHistory() }},
 	// Adds the current temporary key.
 	{"configuration", func(c *cluster, _ *rand.Rand) { c.configure(permanentKey, c.temporaryKey()) }},
@@ -135,6 +142,14 @@
 	}},
 }
 
+const (
+	// minLinkRate is the least rate of the slow link to the store, in bytes per second: it carries the largest
+	// configuration in about three seconds.
+	minLinkRate = 40_000
+	// routesAdded is by how many routes a configuration grows, up to maxIdleRoutes.
+	routesAdded, maxIdleRoutes = 200, 600
+)
+
 // setFaults sets the fault of all replicas.
 func (c *cluster) setFaults(fault replica.Fault) {
 	for _, r := range c.replicas {
@@ -195,6 +210,9 @@
 func (c *cluster) clearFaults() {
 	c.logf("healed")
 	c.store.SetDown(false)
+	c.store.SetDelay(0)
+	c.relays[0].SetRate(0)
+	c.idleRoutes = 0
 	for i := range c.relays {
 		c.clearRelayFaults(i)
 	}
