--- a/internal/crashblame/bench_test.go
+++ b/internal/crashblame/bench_test.go
@@ -1,6 +1,7 @@
 package crashblame
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -37,3 +38,23 @@
 	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes")
 	runtime.KeepAlive(l)
 }
+
+// BenchmarkIdentity is what the identity of a request costs: its head, for each request, and its body, while one with the same head is
+// suspected.
+func BenchmarkIdentity(b *testing.B) {
+	r := Request{Caller: "account-1", Method: "POST", Host: "app.example", Target: "/chat/completions", Parts: []Part{1, 2, 3}, Body: make([]byte, 4<<20)}
+	head := r.Head()
+	b.Run("head", func(b *testing.B) {
+		for b.Loop() {
+			r.Head()
+		}
+	})
+	for _, size := range []int{4 << 10, 4 << 20} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			part := Request{Body: r.Body[:size]}
+			for b.Loop() {
+				part.Part(head)
+			}
+		})
+	}
+}
