--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,12 +5,12 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 )
 
@@ -79,10 +79,10 @@
 	c.checkLeavings(calls)
 	c.checkPauses()
 	c.logf("seed %d: %d calls, %d succeeded, %d refused", seed, len(calls), countCalls(calls, succeeded), countCalls(calls, refused))
-	assert.Assert(t, countCalls(calls, succeeded) > 0, "no call succeeded")
-	// Every gateway must become ready once the faults are cleared.
-	for _, g := range c.gateways {
+	// Every gateway must become ready and serve once the faults are cleared.
+	for i, g := range c.gateways {
 		c.waitServing(g)
+		c.checkServes(i)
 	}
 	if t.Failed() {
 		for _, line := range c.log {
@@ -91,6 +91,25 @@
 	}
 }
 
+// checkServes waits until a gateway serves a call, and fails the test after startTimeout. Replicas that leave or name a limit go on doing so after the
+// faults are cleared; without another one, nothing is checked.
+func (c *cluster) checkServes(gateway int) {
+	if !slices.ContainsFunc(c.replicas, (*replica.Replica).Serves) {
+		return
+	}
+	client := &http.Client{Timeout: callDeadline, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n, deadline := 0, time.Now().Add(startTimeout); time.Now().Before(deadline); n++ {
+		result := call{id: fmt.Sprintf("last-%d-%d", gateway, n), path: "/safe/x", key: permanentKey, gateway: gateway}
+		c.send(client, &result)
+		if succeeded(result) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Errorf("gateway %d serves no call %s after the faults were cleared", gateway, startTimeout)
+}
+
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
