Crash blame: a stream that breaks off after events is not blamed as a whole

Traced (log: request blamed, whole=true): their streams are the same in path, caller and body, and replicas that live on break them off after events; since the third one blamed the request and the next copy got 503. Such losses no longer count against the whole request, only against shared parts as before; plain requests and streams without an event do.

--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -141,7 +141,8 @@
 	if r.begun && !r.proven {
 		parts = append(parts, r.parts...)
 	}
-	if r.request != 0 && !r.proven {
+	// An answer that breaks off after events may have been cut by an endpoint that goes on.
+	if r.request != 0 && !r.proven && (r.plain || r.firstAt == 0) {
 		parts = append(parts, r.request)
 	}
 	for other := range l.settling {
