--- a/internal/crashblame/blame.go
+++ b/internal/crashblame/blame.go
@@ -64,7 +64,6 @@
 			continue
 		}
 		b.seenAt = now
-		l.learnHead(now, p)
 		if found != nil {
 			// A request with several blamed parts would prove or confirm nothing of either.
 			return Verdict{Blamed: p, Refused: true, Wait: blameTime}
@@ -136,7 +135,7 @@
 		delete(l.blames, oldest)
 	}
 	l.blames[p] = &b
-	l.learnHead(now, p)
+	l.heads[p.head()] = true
 }
 
 // sortedBlames returns the blamed parts, those that requests brought longest ago first.
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -21,6 +21,8 @@
 	maxRetriedCrashes = 1
 	// suspicionTime is how long a crash counts against a part.
 	suspicionTime = time.Minute
+	// expiryInterval is the time between two removals of what is too old. Each of them visits all suspects.
+	expiryInterval = 500 * time.Millisecond
 	// maxSuspects bounds the suspected parts.
 	maxSuspects = 4096
 )
@@ -67,21 +69,22 @@
 
 // Ledger is what a process knows of parts and crashes. It is not safe for concurrent use.
 type Ledger struct {
-	settling map[*Run]bool              // complete answers that have not settled
-	heard    map[Process]domain.Instant // last arrival of a part of an answer from each process
-	proofs   map[Part]domain.Instant
-	suspects map[Part]*suspicion
-	blames   map[Part]*blame
-	heads    map[uint32]domain.Instant // of suspected and blamed parts, and since when; see KnowsHead
-	crashes  []crash                   // of the last newsTime, oldest first
-	cleared  map[Part]domain.Instant   // parts to tell peers that they are proven, and since when
-	probing  prober
+	settling  map[*Run]bool              // complete answers that have not settled
+	heard     map[Process]domain.Instant // last arrival of a part of an answer from each process
+	proofs    map[Part]domain.Instant
+	suspects  map[Part]*suspicion
+	blames    map[Part]*blame
+	heads     map[uint32]bool         // of suspected and blamed parts, and of some that lately were; see KnowsHead
+	expiredAt domain.Instant          // when what was too old was last removed
+	crashes   []crash                 // of the last newsTime, oldest first
+	cleared   map[Part]domain.Instant // parts to tell peers that they are proven, and since when
+	probing   prober
 }
 
 // New returns a ledger that knows nothing. startedAt is the start of this process.
 func New(startedAt domain.Instant) *Ledger {
 	return &Ledger{
-		settling: make(map[*Run]bool), heard: make(map[Process]domain.Instant), heads: make(map[uint32]domain.Instant), proofs: make(map[Part]domain.Instant), suspects: make(map[Part]*suspicion), blames: make(map[Part]*blame),
+		settling: make(map[*Run]bool), heard: make(map[Process]domain.Instant), heads: make(map[uint32]bool), proofs: make(map[Part]domain.Instant), suspects: make(map[Part]*suspicion), blames: make(map[Part]*blame),
 		cleared: make(map[Part]domain.Instant), probing: prober{startedAt: startedAt},
 	}
 }
@@ -124,7 +127,7 @@
 		l.prove(now, []Part{r.request})
 		return
 	}
-	if len(r.all()) == 0 || r.proven {
+	if len(r.parts) == 0 && r.request == 0 || r.proven {
 		return
 	}
 	if r.firstAt == 0 {
@@ -212,6 +215,11 @@
 			delete(l.settling, r)
 		}
 	}
+	l.expireNews(now)
+	if now.Sub(l.expiredAt) < expiryInterval {
+		return
+	}
+	l.expiredAt = now
 	for process, at := range l.heard {
 		if now.Sub(at) >= provenTime {
 			delete(l.heard, process)
@@ -227,9 +235,8 @@
 			delete(l.suspects, p)
 		}
 	}
-	l.expireNews(now)
 	l.expireBlames(now)
-	l.expireHeads(now)
+	l.collectHeads()
 }
 
 // prove records that an endpoint went on writing under parts.
@@ -252,7 +259,6 @@
 
 // suspect counts a crash under a part and reports whether that is what makes it blamed.
 func (l *Ledger) suspect(now domain.Instant, p Part, process Process) bool {
-	l.learnHead(now, p)
 	if l.blames[p] != nil {
 		return false
 	}
@@ -263,6 +269,7 @@
 		}
 		s = &suspicion{crashes: make(map[Process]domain.Instant)}
 		l.suspects[p] = s
+		l.heads[p.head()] = true
 	}
 	s.crashes[process], s.lastAt = now, now
 	if len(s.crashes) < maxCrashes {
--- a/internal/crashblame/request.go
+++ b/internal/crashblame/request.go
@@ -4,16 +4,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
-
-	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 )
 
 // Whole requests. A request can crash an endpoint whatever its prompt parts are, and come again as it was. It then counts as one more
-// part of itself. Its identity is the same in all processes, and has two halves: the head, which is computed for each request, and the body, which
-// takes time and is computed only for requests whose head is known.
-
-// headTime is how long a head stays known after a crash or a blame. It is not below blameTime, in which a blame is renewed.
-const headTime = blameTime
+// part of itself. Its identity is the same in all processes, and has two halves: the head, which is computed for each request, and the hash of the
+// body, which takes long for a large one and is computed only for requests whose head is that of a suspected or blamed one.
 
 // Request is what identifies a request. Requests of different callers differ.
 type Request struct {
@@ -56,18 +51,16 @@
 
 // KnowsHead reports whether a suspected or blamed request may have a head. Only then is its body of interest.
 func (l *Ledger) KnowsHead(head uint32) bool {
-	_, ok := l.heads[head]
-	return ok
+	return l.heads[head]
 }
 
-// learnHead records the head of a part that is suspected or blamed.
-func (l *Ledger) learnHead(now domain.Instant, p Part) { l.heads[p.head()] = now }
-
-// expireHeads forgets heads of what is neither suspected nor blamed any more.
-func (l *Ledger) expireHeads(now domain.Instant) {
-	for head, at := range l.heads {
-		if now.Sub(at) >= headTime {
-			delete(l.heads, head)
-		}
+// collectHeads derives the heads from what is suspected and blamed.
+func (l *Ledger) collectHeads() {
+	clear(l.heads)
+	for p := range l.suspects {
+		l.heads[p.head()] = true
+	}
+	for p := range l.blames {
+		l.heads[p.head()] = true
 	}
 }
--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -122,7 +122,7 @@
 	if crowded && !svc.busyGap.streamsToleratePrefill() {
 		return false
 	}
-	if svc.starves(now, q) {
+	if svc.starvesBefore(now, q) {
 		return false
 	}
 	maxUtilization := svc.prefillCeiling.limit(now, q.Rank)
--- a/internal/placement/starvation.go
+++ b/internal/placement/starvation.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
@@ -60,23 +59,13 @@
 	return math.Exp(-float64(now.Sub(s.updatedAt)) / float64(starvationTimeConstant))
 }
 
-// starves reports whether requests starve that are more urgent than one whose prompt is not shorter.
-func (p *prefillCeiling) starves(now domain.Instant, q Query) bool {
-	tokens := float64(promptTokens(q.Parts))
-	return slices.ContainsFunc(p.starvation[:priorityLevel(q.Rank)], func(s starvation) bool {
-		return shorterShare*s.promptTokens < tokens && s.starves(now)
-	})
-}
-
-// starves reports whether requests starve that are more urgent than one whose prompt is not shorter, as this process or a peer
+// starvesBefore reports whether requests starve that are more urgent than one whose prompt is not shorter, as this process or a peer
 // sees it.
-func (svc *service) starves(now domain.Instant, q Query) bool {
-	if svc.prefillCeiling.starves(now, q) {
-		return true
-	}
+func (svc *service) starvesBefore(now domain.Instant, q Query) bool {
 	tokens := float64(promptTokens(q.Parts))
-	for level, peers := range svc.starvingPeers[:priorityLevel(q.Rank)] {
-		if peers > 0 && shorterShare*svc.prefillCeiling.starvation[level].promptTokens < tokens {
+	for level := range priorityLevel(q.Rank) {
+		s := &svc.prefillCeiling.starvation[level]
+		if shorterShare*s.promptTokens < tokens && (svc.starvingPeers[level] > 0 || s.starves(now)) {
 			return true
 		}
 	}
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -27,8 +27,9 @@
 	end              context.CancelCauseFunc
 }
 
-// New returns a context for a call and its guard, which ends it with ErrSilent. The peer may be silent for a wait and
-// limit at first, and for limit after each part that has arrived. Stop must be called.
+// New returns a context for a call and its guard, which ends it with ErrSilent, or with ErrTooLong wait and maxCallTime after
+// this call. The peer may be silent for wait, the time that the call asks it to wait, and limit at first, and for limit after each
+// part that has arrived. Stop must be called.
 func New(ctx context.Context, wait, limit time.Duration) (context.Context, *Guard) {
 	ctx, end := context.WithCancelCause(ctx)
 	g := &Guard{limit: limit, end: end}
