Review: SIGHUP ends a router that is being stopped (case 2)

Looked at: signals, graceful shutdown, the reader of the settings file.

Done: a script that stops three routers in turn and changes the settings file of each while it stops, with SIGHUP.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,7 +31,7 @@
 	"versions": playVersions,
 	"revoke":   playRevoke,
 	"bodies":   playBodies,
-	"blame":    playBlame,
+	"hup":      playHup,
 	"takeups":  playTakeUps,
 }
 
--- a/review/harness/takeups.go
+++ b/review/harness/takeups.go
@@ -22,6 +22,9 @@
 	minTakeUps = 12
 )
 
+// contactTime is contact_ms.
+const contactTime = 3 * time.Second
+
 // takeUpCount counts new streams, and those taken up at routers in touch.
 type takeUpCount struct {
 	mu                              sync.Mutex
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -46,7 +46,7 @@
 	rows   map[string][]byte // last entry of each replica that the store should have
 	config []byte
 	down   bool
-	crashs []poisonRun
+	runs   map[string]int // of each request at replicas, by its ID
 }
 
 // newWorld starts the store and opens the record.
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
-	w := &world{router: router, dir: dir, store: metastore.New(), memoryMB: 134, started: time.Now(), file: file, writer: bufio.NewWriter(file), rows: make(map[string][]byte)}
+	w := &world{router: router, dir: dir, store: metastore.New(), memoryMB: 134, started: time.Now(), file: file, writer: bufio.NewWriter(file), rows: make(map[string][]byte), runs: make(map[string]int)}
 	for range 20 {
 		w.network = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
 		if listener, err := net.Listen("tcp4", w.address(storeHost, servicePort)); err == nil {
@@ -159,6 +159,7 @@
 	ended   bool
 	starts  int
 	touched time.Time // last start or kill
+	stopped time.Time // last SIGTERM
 }
 
 // front returns the address for clients.
@@ -316,6 +317,20 @@
 	return fmt.Errorf("router %d is not ready", r.index)
 }
 
+// countRun counts a run of a request at a replica.
+func (w *world) countRun(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[id]++
+}
+
+// hasRun reports whether a replica has run a request.
+func (w *world) hasRun(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id] > 0
+}
+
 // pause waits and reports whether the case goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
