--- a/review/harness/bodies.go
+++ b/review/harness/bodies.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		q := request{id: fmt.Sprintf("b%03d-%d", c, n), path: "/issue/2f", key: "key-kept", method: "POST", timeout: 4 * time.Second, body: t.body, bodyTime: uploadTime}
-		a := send(ctx, w.routers[c%len(w.routers)].front(), q)
+		a := w.send(ctx, w.routers[c%len(w.routers)].front(), q)
 		w.record("answer %s status %d err %v", q.id, a.status, a.err)
 		t.mu.Lock()
 		switch a.status {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -33,8 +33,14 @@
 	err      error
 }
 
-// send makes an attempt on a new channel.
-func send(ctx context.Context, address string, q request) answer {
+// send makes an attempt on a new channel, and records it.
+func (w *world) send(ctx context.Context, address string, q request) answer {
+	w.record("send %s %s %s key %q body %d bytes after event %q to %s", q.id, q.method, q.path, q.key, len(q.body), q.headers["Last-Event-Id"], address)
+	return attempt(ctx, address, q)
+}
+
+// attempt makes an attempt on a new channel.
+func attempt(ctx context.Context, address string, q request) answer {
 	a := answer{sent: time.Now()}
 	dialer := net.Dialer{Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
--- a/review/harness/hup.go
+++ b/review/harness/hup.go
@@ -94,11 +94,11 @@
 		if r.takesNewChannels() {
 			group.Go(func() {
 				q := request{id: fmt.Sprintf("h%d-%04d", r.index, n), path: "/stream/2f", method: "POST", timeout: 8 * time.Second, body: []byte("{}"), headers: streamHeaders(n)}
-				s.judge(w, r, q, send(ctx, r.front(), q), true)
+				s.judge(w, r, q, w.send(ctx, r.front(), q), true)
 			})
 			group.Go(func() {
 				q := request{id: fmt.Sprintf("k%d-%04d", r.index, n), path: "/issue/2f", key: "key-kept", method: "POST", timeout: 4 * time.Second, body: []byte("{}")}
-				s.judge(w, r, q, send(ctx, r.front(), q), false)
+				s.judge(w, r, q, w.send(ctx, r.front(), q), false)
 			})
 		}
 		if !pause(ctx, time.Second/callsPerSecond) {
--- a/review/harness/revoke.go
+++ b/review/harness/revoke.go
@@ -31,7 +31,7 @@
 		return "", err
 	}
 	pause(ctx, 4*time.Second)
-	a := send(ctx, w.routers[0].front(), request{id: "before", path: "/check/2f", key: "key-taken", method: "GET", timeout: 4 * time.Second})
+	a := w.send(ctx, w.routers[0].front(), request{id: "before", path: "/check/2f", key: "key-taken", method: "GET", timeout: 4 * time.Second})
 	w.record("answer before status %d", a.status)
 	if a.status != 200 {
 		return "", fmt.Errorf("before the change: status %d, %w", a.status, errors.Join(a.err))
@@ -64,7 +64,7 @@
 	for n := 0; time.Since(acked) < copyAge+6*time.Second; n++ {
 		for i, r := range w.routers {
 			q := request{id: fmt.Sprintf("taken-%03d-%d", n, i), path: "/check/2f", key: "key-taken", method: "GET", timeout: 2 * time.Second}
-			a := send(ctx, r.front(), q)
+			a := w.send(ctx, r.front(), q)
 			late := a.sent.Sub(acked) - revokeBound
 			w.record("answer %s status %d sealed %v, sent %.3f s after the ack", q.id, a.status, a.sealed, a.sent.Sub(acked).Seconds())
 			if a.status == 200 && a.sealed && late > 0 {
@@ -74,7 +74,7 @@
 				}
 			}
 			q.id, q.key = fmt.Sprintf("kept-%03d-%d", n, i), "key-kept"
-			a = send(ctx, r.front(), q)
+			a = w.send(ctx, r.front(), q)
 			w.record("answer %s status %d", q.id, a.status)
 			if a.status == 200 {
 				served++
--- a/review/harness/takeups.go
+++ b/review/harness/takeups.go
@@ -79,7 +79,7 @@
 	q := request{id: s.id, path: "/stream/2f", key: "key-kept", method: "POST", timeout: longTimeout, body: []byte("{}"), headers: streamHeaders(n)}
 	began, router := time.Now(), w.routers[n%len(w.routers)]
 	fresh := router.inTouch()
-	a := send(ctx, router.front(), q)
+	a := w.send(ctx, router.front(), q)
 	s.add(a.body)
 	w.record("answer %s status %d complete %v events %d err %v", q.id, a.status, a.complete, s.last, a.err)
 	t.mu.Lock()
@@ -98,7 +98,7 @@
 		q.id, q.timeout = fmt.Sprintf("%s.%d", s.id, try), longTimeout-time.Since(began)
 		q.headers["Last-Event-Id"], q.headers["Resumes"] = strconv.Itoa(s.last), s.id
 		counted := router.inTouch()
-		a = send(ctx, router.front(), q)
+		a = w.send(ctx, router.front(), q)
 		before := s.last
 		s.add(a.body)
 		w.record("taken up %s in touch %v status %d complete %v events %d err %v", q.id, counted, a.status, a.complete, s.last, a.err)
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -96,7 +96,7 @@
 	timeout := 8 * time.Second
 	q := request{id: s.id, path: "/stream/2f", key: "key-kept", method: "POST", timeout: timeout, body: []byte("{}"), headers: streamHeaders(n)}
 	began := time.Now()
-	a := send(ctx, w.routers[n%len(w.routers)].front(), q)
+	a := w.send(ctx, w.routers[n%len(w.routers)].front(), q)
 	s.add(a.body)
 	w.record("answer %s status %d complete %v events %d versions %v err %v", q.id, a.status, a.complete, s.last, s.versions, a.err)
 	if a.status != 200 || a.complete || s.last == 0 {
@@ -104,7 +104,7 @@
 	}
 	q.id, q.timeout = s.id+".1", timeout-time.Since(began)
 	q.headers["Last-Event-Id"], q.headers["Resumes"] = strconv.Itoa(s.last), s.id
-	a = send(ctx, w.routers[(n+1)%len(w.routers)].front(), q)
+	a = w.send(ctx, w.routers[(n+1)%len(w.routers)].front(), q)
 	s.add(a.body)
 	w.record("answer %s status %d complete %v events %d versions %v err %v", q.id, a.status, a.complete, s.last, s.versions, a.err)
 	return s
