Logs: a line written after the sink is closed no longer panics

Callers saw nothing; a gateway that had stopped could end with exit status 2. Cause: Close closed the channel that Write sends to, while goroutines that outlive the servers still log. TestWritesAfterCloseAreDropped failed before the change with "panic: send on closed channel", and passes 20 times with the race detector after it.

Close now signals the writer by a channel of its own; later lines are dropped.

--- a/internal/logs/sink.go
+++ b/internal/logs/sink.go
@@ -19,12 +19,13 @@
 	lines chan []byte
 	// dropped is the number of lines dropped since the last line was written.
 	dropped atomic.Int64
-	done    chan struct{}
+	closing chan struct{} // closed by Close
+	done    chan struct{} // closed when the queued lines are written
 }
 
 // New returns a sink and starts the goroutine that writes its lines to w.
 func New(w io.Writer) *Sink {
-	s := &Sink{lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	s := &Sink{lines: make(chan []byte, queueLength), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run(w)
 	return s
 }
@@ -40,21 +41,34 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the sink. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the sink. Lines that are written during
+// or after Close may be dropped, as goroutines can outlive what they log about.
 func (s *Sink) Close() {
-	close(s.lines)
+	close(s.closing)
 	<-s.done
 }
 
 // run writes the queued lines until the sink is closed.
 func (s *Sink) run(w io.Writer) {
 	defer close(s.done)
-	for line := range s.lines {
-		if n := s.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w, "level=WARN msg=\"log lines left out\" count=%d\n", n)
+	for {
+		select {
+		case line := <-s.lines:
+			s.writeLine(w, line)
+		case <-s.closing:
+			for range len(s.lines) {
+				s.writeLine(w, <-s.lines)
+			}
+			return
 		}
-		// There is nowhere else to report a failed write of the log.
-		_, _ = w.Write(line)
 	}
 }
+
+// writeLine writes a line, after the number of those dropped before it.
+func (s *Sink) writeLine(w io.Writer, line []byte) {
+	if n := s.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(w, "level=WARN msg=\"log lines left out\" count=%d\n", n)
+	}
+	// There is nowhere else to report a failed write of the log.
+	_, _ = w.Write(line)
+}
--- a/internal/logs/sink_test.go
+++ b/internal/logs/sink_test.go
@@ -39,3 +39,31 @@
 	lines := strings.Count(w.written.String(), "line\n")
 	assert.Assert(t, lines >= queueLength && lines < queueLength+100, "%d lines", lines)
 }
+
+// Guards against the end of a stopping process by a panic: goroutines that
+// outlive the servers go on logging after the sink is closed.
+func TestWritesAfterCloseAreDropped(t *testing.T) {
+	w := &blockingWriter{unblock: make(chan struct{})}
+	close(w.unblock)
+	s := New(w)
+	stop := make(chan struct{})
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = s.Write([]byte("line\n"))
+				}
+			}
+		})
+	}
+	s.Close()
+	_, err := s.Write([]byte("after\n"))
+	assert.NilError(t, err)
+	close(stop)
+	writers.Wait()
+	assert.Assert(t, !strings.Contains(w.written.String(), "after"))
+}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -227,7 +227,7 @@
 	output, err := os.OpenFile(g.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(c.t, err)
 	defer output.Close()
-	g.cmd.Stdout = output
+	g.cmd.Stdout, g.cmd.Stderr = output, output
 	assert.NilError(c.t, g.cmd.Start())
 	g.disturbed.touch()
 }
