Logs: a log that nobody reads doesn't keep a stopped process

Close waited for its writer without a limit. A router whose standard output is a full pipe finished its requests and then stayed until SIGKILL. TestCloseWithBlockedWriterReturns ran into the test's time limit before the change. Close waits 200 ms at most now; lines left then are lost.

--- a/internal/logs/sink.go
+++ b/internal/logs/sink.go
@@ -8,11 +8,15 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // queueLength is the largest number of queued lines, about 2 MB with lines of 500 bytes.
 const queueLength = 4096
 
+// flushTimeout is the longest time for which Close waits for a writer that blocks.
+const flushTimeout = 200 * time.Millisecond
+
 // Sink is an asynchronous io.Writer. Each Write must be a complete line. It is
 // safe for concurrent use.
 type Sink struct {
@@ -41,11 +45,15 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the sink. Lines that are written during
-// or after Close may be dropped, as goroutines can outlive what they log about.
+// Close writes the queued lines, for flushTimeout at most, and stops the sink. Lines
+// that are written during or after Close may be dropped, as goroutines can outlive
+// what they log about.
 func (s *Sink) Close() {
 	close(s.closing)
-	<-s.done
+	select {
+	case <-s.done:
+	case <-time.After(flushTimeout):
+	}
 }
 
 // run writes the queued lines until the sink is closed.
--- a/internal/logs/sink_test.go
+++ b/internal/logs/sink_test.go
@@ -67,3 +67,13 @@
 	writers.Wait()
 	assert.Assert(t, !strings.Contains(w.written.String(), "after"))
 }
+
+// Guards against a process that can't end because nobody reads its log.
+func TestCloseWithBlockedWriterReturns(t *testing.T) {
+	w := &blockingWriter{unblock: make(chan struct{})}
+	defer close(w.unblock)
+	s := New(w)
+	_, err := s.Write([]byte("line\n"))
+	assert.NilError(t, err)
+	s.Close()
+}
