Router: signals never end a process that stops or starts (LOST)

Cause: the handler of SIGHUP was removed when SIGTERM ended the watch of the settings file, and a signal without a handler ends the process. The same holds before the handlers are registered, which was after the settings were read, and at the end, where those of SIGTERM and SIGINT were removed before the exit.

internal/signals registers all handlers as the first statement of main and never removes them; the settings are followed until the end of the process.

The soak sends SIGHUP during all planned stops.

--- a/cmd/dunlinpulley-router/main.go
+++ b/cmd/dunlinpulley-router/main.go
@@ -7,10 +7,12 @@
 	"os"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
+	"github.com/dunlinpulley/dunlinpulley/internal/signals"
 	"github.com/dunlinpulley/dunlinpulley/platform/wiring"
 )
 
 func main() {
-	err := wiring.RouterCommand().Run(context.Background(), os.Args)
+	received := signals.Notify()
+	err := wiring.RouterCommand(received).Run(context.Background(), os.Args)
 	os.Exit(settings.ExitCode(os.Stderr, err))
 }
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -253,6 +254,26 @@
 	_ = g.cmd.Wait()
 }
 
+// stop ends a gateway's process by SIGTERM. Its settings change meanwhile, with a SIGHUP
+// each, until the process is gone.
+func (c *cluster) stop(g *process, rng *rand.Rand) {
+	interval := time.Duration(1+rng.IntN(200)) * time.Millisecond
+	_ = g.cmd.Process.Signal(syscall.SIGTERM)
+	exited := make(chan error, 1)
+	go func() { exited <- g.cmd.Wait() }()
+	for {
+		select {
+		case err := <-exited:
+			if err != nil {
+				c.t.Errorf("gateway ended with %v after SIGTERM and SIGHUP each %s", err, interval)
+			}
+			return
+		case <-time.After(interval):
+			_ = g.cmd.Process.Signal(syscall.SIGHUP)
+		}
+	}
+}
+
 // register writes a replica's row to the store, with the address of its relay.
 func (c *cluster) register(r *replica.Replica, state string) {
 	proxy := c.relays[1+slices.Index(c.replicas, r)]
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -92,10 +91,7 @@
 	{"gateway ended by SIGTERM and started", func(c *cluster, rng *rand.Rand) {
 		g := c.randomGateway(rng)
 		g.disturbed.touch()
-		_ = g.cmd.Process.Signal(syscall.SIGTERM)
-		if err := g.cmd.Wait(); err != nil {
-			c.t.Errorf("gateway ended with %v after SIGTERM", err)
-		}
+		c.stop(g, rng)
 		c.start(g)
 		time.Sleep(time.Second)
 	}},
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -102,10 +102,7 @@
 	{"gateway restarted by SIGTERM", func(c *cluster, rng *rand.Rand) {
 		g := c.randomGateway(rng)
 		c.resume(g)
-		_ = g.cmd.Process.Signal(syscall.SIGTERM)
-		if err := g.cmd.Wait(); err != nil {
-			c.t.Errorf("gateway ended with %v after SIGTERM", err)
-		}
+		c.stop(g, rng)
 		c.start(g)
 	}},
 	{"gateway suspended", func(c *cluster, rng *rand.Rand) {
