Router: the end of its log's reader doesn't end the process

Callers lost all requests in progress when the program that read the router's standard output ended. Cause: a write to a closed standard output or error raises SIGPIPE, which ends a Go program that has no handler for it. SIGPIPE is ignored; such writes fail, and the lines are lost.

--- a/cmd/dunlinpulley-router/signals_test.go
+++ b/cmd/dunlinpulley-router/signals_test.go
@@ -258,3 +258,21 @@
 	assert.NilError(t, pipe.Close())
 	r.awaitExit()
 }
+
+// Guards against a router that ends because the reader of its log has ended: it must
+// go on serving and stop with status 0.
+func TestClosedLogReader(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	r := newRouter(t)
+	r.startReady(writer)
+	assert.NilError(t, writer.Close())
+	assert.NilError(t, reader.Close())
+	for n := range 3 {
+		status, err := r.call(fmt.Sprintf("a%d", n))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	r.signal(syscall.SIGTERM)
+	r.awaitExit()
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -32,5 +32,7 @@
 	stop, reload := make(chan os.Signal, maxStops), make(chan os.Signal, maxReloads)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	// Ignored, a write to a closed standard output or error fails instead of ending the process.
+	signal.Ignore(syscall.SIGPIPE)
 	return Received{Stop: stop, Reload: reload}
 }
