Entry, agent: SIGHUP doesn't end the process

Callers lost all calls of an entry, and runs of an agent, that got SIGHUP: it had its default effect, as these programs had no handler of it. TestAgentStopsGracefully and TestEntryStopsGracefully now send it before and after SIGTERM; the first failed before the change ("signal: hangup"). Both pass, twice. Both programs use internal/signals and log that SIGHUP is ignored, as their settings are read at the start only.

--- a/internal/app/commands.go
+++ b/internal/app/commands.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +12,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/logs"
 	"github.com/dunlinpulley/dunlinpulley/internal/settings"
+	"github.com/dunlinpulley/dunlinpulley/internal/signals"
 	"github.com/dunlinpulley/dunlinpulley/internal/wire"
 )
 
@@ -76,6 +75,7 @@
 }
 
 func runEntry(_ context.Context, cmd *cli.Command) error {
+	received := serviceSignals()
 	s, err := readEntrySettings(cmd)
 	if err != nil {
 		return err
@@ -84,12 +84,11 @@
 		return err
 	}
 	logs.Configure(os.Stderr, s.Name)
-	signals := stopSignals()
 	e, err := StartEntry(s)
 	if err != nil {
 		return err
 	}
-	<-signals
+	<-received
 	stopped := make(chan struct{})
 	go func() {
 		e.Shutdown()
@@ -98,7 +97,7 @@
 	select {
 	case <-stopped:
 		return nil
-	case <-signals:
+	case <-received:
 		return forcedExit("entry", e.CallsInProgress())
 	}
 }
@@ -141,6 +140,7 @@
 }
 
 func runAgent(_ context.Context, cmd *cli.Command) error {
+	received := serviceSignals()
 	s, err := readAgentSettings(cmd)
 	if err != nil {
 		return err
@@ -149,13 +149,12 @@
 		return err
 	}
 	logs.Configure(os.Stderr, s.Endpoint)
-	signals := stopSignals()
 	a, err := StartAgent(s)
 	if err != nil {
 		return err
 	}
 	select {
-	case <-signals:
+	case <-received:
 		a.Shutdown()
 	case <-a.Exited():
 	}
@@ -164,17 +163,22 @@
 		klog.InfoS("agent stopped", "endpoint", s.Endpoint)
 		a.Close()
 		return nil
-	case <-signals:
+	case <-received:
 		return forcedExit("agent", a.Running())
 	}
 }
 
-// stopSignals returns a channel of the signals that stop a process: the first
-// gracefully, the second at once.
-func stopSignals() <-chan os.Signal {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	return signals
+// serviceSignals returns a channel of the signals that stop an entry or an agent: the
+// first gracefully, the second at once. SIGHUP is logged and has no other effect, as
+// their settings are read at the start only.
+func serviceSignals() <-chan os.Signal {
+	received := signals.Notify()
+	go func() {
+		for range received.Reload {
+			klog.InfoS("SIGHUP ignored", "reason", "settings are read at the start only")
+		}
+	}()
+	return received.Stop
 }
 
 // forcedExit logs how many calls or runs a second signal aborts, and returns the
--- a/internal/app/dev.go
+++ b/internal/app/dev.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -53,7 +55,9 @@
 	if once {
 		s.Listen, s.AdminAddress = loopbackAddress, loopbackAddress
 	}
-	signals := stopSignals()
+	// SIGHUP keeps its default effect: the deployment ends with its terminal.
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
 	d, err := StartDeployment(s)
 	if err != nil {
 		return err
@@ -63,7 +67,7 @@
 		return runSmokeCalls(ctx, os.Stdout, d)
 	}
 	printAddresses(os.Stdout, s.Name, d)
-	<-signals
+	<-received
 	return nil
 }
 
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -9,13 +9,15 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/engine"
 )
 
-// TestAgentStopsGracefully guards against runs that are interrupted by SIGTERM to
+// TestAgentStopsGracefully guards against runs that are interrupted by SIGTERM or SIGHUP to
 // their agent: all must finish without wasted tokens, and the agent must then exit.
 func TestAgentStopsGracefully(t *testing.T) {
 	c := newCluster(t)
 	wait := c.askInBackground("stop", 40)
 	c.await("half of the answers to be in progress", func() bool { return c.runningAnswers() >= 20 })
+	c.agents[0].signal(syscall.SIGHUP)
 	c.agents[0].signal(syscall.SIGTERM)
+	c.agents[0].signal(syscall.SIGHUP)
 	c.checkComplete(wait())
 	assert.NilError(t, c.agents[0].awaitExit())
 	for _, address := range c.engineAddresses {
@@ -29,12 +31,14 @@
 }
 
 // TestEntryStopsGracefully guards against answers that are interrupted by SIGTERM
-// to their entry: all must complete, and the entry must then exit.
+// or SIGHUP to their entry: all must complete, and the entry must then exit.
 func TestEntryStopsGracefully(t *testing.T) {
 	c := newCluster(t)
 	wait := c.askInBackground("entry", 40)
 	c.await("half of the answers to be in progress", func() bool { return c.runningAnswers() >= 20 })
+	c.entries[0].signal(syscall.SIGHUP)
 	c.entries[0].signal(syscall.SIGTERM)
+	c.entries[0].signal(syscall.SIGHUP)
 	c.checkComplete(wait())
 	assert.NilError(t, c.entries[0].awaitExit())
 }
