--- a/internal/crashblame/model_test.go
+++ b/internal/crashblame/model_test.go
@@ -1,6 +1,7 @@
 package crashblame
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 	numbers   uint64
 
 	disturbedEvery int // steps
+	lostHeads      int // of ten requests that crash endpoints, those that do before the head of their answer has arrived
 }
 
 const (
@@ -157,6 +159,15 @@
 	}
 }
 
+// crashUnder ends the endpoint of a request that crashes it.
+func (m *model) crashUnder(r *modelRun) {
+	m.crashes++
+	if m.crashes == m.learnAt {
+		m.learntAt = m.now
+	}
+	m.crash(r.endpoint)
+}
+
 // step advances all requests and exchanges the gateways' news, of which some are lost.
 func (m *model) step() {
 	m.now = m.now.Add(modelStep)
@@ -164,15 +175,14 @@
 		r := m.runs[i]
 		switch {
 		case r.beginsAt > m.now:
+		case !r.sound && r.request == 0 && !r.run.begun && m.lostHeads > 0 && rapid.IntRange(1, 10).Draw(m.t, "head") <= m.lostHeads:
+			m.crashUnder(r)
+			i = -1
 		case r.request != 0 && r.sound && r.endsAt > m.now:
 		case r.request == 0 && !r.run.begun:
 			r.gateway.ledger.Begun(m.now, r.run)
 		case !r.sound && m.now.Sub(r.beginsAt) >= 40*time.Millisecond:
-			m.crashes++
-			if m.crashes == m.learnAt {
-				m.learntAt = m.now
-			}
-			m.crash(r.endpoint)
+			m.crashUnder(r)
 			i = -1
 		case r.sound && r.endsAt <= m.now:
 			r.gateway.ledger.Completed(m.now, r.run)
@@ -242,18 +252,26 @@
 // ones that share their first part, restarts and cuts of gateways, lost messages and crashes without a
 // cause. From the fifth crash on, gateways in touch send at most three more, and sound requests go on.
 func TestCrashesUnderAPartAreBounded(t *testing.T) {
-	checkCrashesBounded(t, 3, 34)
+	checkCrashesBounded(t, 3, 34, 0)
+}
+
+// TestCrashesBeforeAnswersAreBounded is the same where endpoints crash before the head of the answer has arrived, always or sometimes.
+func TestCrashesBeforeAnswersAreBounded(t *testing.T) {
+	for _, lostHeads := range []int{5, 10} {
+		t.Run(fmt.Sprint(lostHeads), func(t *testing.T) { checkCrashesBounded(t, 3, 34, lostHeads) })
+	}
 }
 
 // TestSoundPromptsAtFewEndpoints is the same with two endpoints and more crashes without a cause: sound requests that were
 // lost in some of these must not be refused for long.
-func TestSoundPromptsAtFewEndpoints(t *testing.T) { checkCrashesBounded(t, 2, 20) }
+func TestSoundPromptsAtFewEndpoints(t *testing.T) { checkCrashesBounded(t, 2, 20, 0) }
 
-// checkCrashesBounded plays 24 s of each draw of the model.
-func checkCrashesBounded(t *testing.T, minEndpoints, disturbedEvery int) {
+// checkCrashesBounded plays 24 s of each draw of the model. lostHeads is that of the model.
+func checkCrashesBounded(t *testing.T, minEndpoints, disturbedEvery, lostHeads int) {
 	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t, minEndpoints, disturbedEvery)
+		m.lostHeads = lostHeads
 		every := rapid.IntRange(3, 60).Draw(t, "steps between crashing requests")
 		for n := 1; n <= 1200; n++ {
 			m.disturb()
--- a/internal/crashblame/news.go
+++ b/internal/crashblame/news.go
@@ -20,6 +20,8 @@
 type Crash struct {
 	Process Process
 	Parts   []Part
+	// Begun is the number of the first of Parts under which answers had begun.
+	Begun int
 }
 
 // Blame is a blamed part.
@@ -40,12 +42,12 @@
 	Cleared []Part
 }
 
-// Size returns the number of crashes, suspected, blamed and cleared parts, and probes. It changes with each
-// addition.
+// Size returns the number of crashes, suspected, blamed and cleared parts, parts under which answers had begun, and
+// probes. It changes with each addition.
 func (n News) Size() int {
 	size := len(n.Crashes) + len(n.Blames) + len(n.Cleared)
 	for _, c := range n.Crashes {
-		size += len(c.Parts)
+		size += len(c.Parts) + c.Begun
 	}
 	for _, b := range n.Blames {
 		size += b.Probes
@@ -53,19 +55,29 @@
 	return size
 }
 
+// newsOf returns what to tell the peers of a crash.
+func (l *Ledger) newsOf(now domain.Instant, c crash) Crash {
+	var begun, waiting []Part
+	for p, hadBegun := range c.parts {
+		switch {
+		case l.isProven(now, p):
+		case hadBegun:
+			begun = append(begun, p)
+		default:
+			waiting = append(waiting, p)
+		}
+	}
+	slices.Sort(begun)
+	slices.Sort(waiting)
+	return Crash{Process: c.process, Parts: append(begun, waiting...), Begun: len(begun)}
+}
+
 // News returns what to tell the peers now.
 func (l *Ledger) News(now domain.Instant) News {
 	var n News
 	for _, c := range l.crashes {
-		var parts []Part
-		for p := range c.parts {
-			if !l.isProven(now, p) {
-				parts = append(parts, p)
-			}
-		}
-		if len(parts) > 0 && len(n.Crashes) < maxNewsCrashes {
-			slices.Sort(parts)
-			n.Crashes = append(n.Crashes, Crash{Process: c.process, Parts: parts})
+		if told := l.newsOf(now, c); len(told.Parts) > 0 && len(n.Crashes) < maxNewsCrashes {
+			n.Crashes = append(n.Crashes, told)
 		}
 	}
 	for _, p := range l.sortedBlames() {
@@ -90,8 +102,8 @@
 		delete(l.blames, p)
 	}
 	for _, c := range n.Crashes {
-		for _, p := range c.Parts {
-			if !l.answerProven(now, p) && l.suspect(now, p, c.Process) {
+		for i, p := range c.Parts {
+			if !l.answerProven(now, p) && l.suspect(now, p, c.Process, i < c.Begun) {
 				blamed = append(blamed, p)
 			}
 		}
--- a/internal/replay/promptparts_test.go
+++ b/internal/replay/promptparts_test.go
@@ -26,6 +26,8 @@
 type crashers struct {
 	sim     *simulation
 	part    uint64 // crashes engines
+	// beforeHead is whether engines crash before the head of the answer has reached the gateway.
+	beforeHead bool
 	ledgers []*crashblame.Ledger
 	runs    map[*request]*crashblame.Run
 	started []time.Duration         // of each gateway
@@ -112,9 +114,17 @@
 		return
 	}
 	now := domain.Instant(at) + 1
-	if slices.Contains(crashParts(q), crashblame.Part(k.part)) && k.crashAt[engine] == 0 {
-		k.crashAt[engine] = at + crashDelay
-		k.crashes = append(k.crashes, at+crashDelay)
+	crashing := slices.Contains(crashParts(q), crashblame.Part(k.part))
+	if crashing && k.crashAt[engine] == 0 {
+		crashAt := at + crashDelay
+		if k.beforeHead {
+			crashAt = at
+		}
+		k.crashAt[engine] = crashAt
+		k.crashes = append(k.crashes, crashAt)
+	}
+	if crashing && k.beforeHead {
+		return
 	}
 	l := k.ledgers[q.gateway]
 	l.Received(now, k.runs[q])
@@ -198,10 +208,18 @@
 // requests arrive at all gateways, beside crashes without a cause, gateways that restart in series
 // and one that is cut off from its peers for a while. Sound requests, which share the crashing ones' first
 // part, are served nearly as often as without them.
-func TestPromptPartCrashesEngines(t *testing.T) {
+func TestPromptPartCrashesEngines(t *testing.T) { checkCrashingPart(t, false) }
+
+// TestPromptPartCrashesEnginesBeforeAnswer is the same where engines crash before the head of the answer has arrived, so that
+// the requests that wait there can't be told from the one that crashes them.
+func TestPromptPartCrashesEnginesBeforeAnswer(t *testing.T) { checkCrashingPart(t, true) }
+
+func checkCrashingPart(t *testing.T, beforeHead bool) {
+	t.Helper()
 	for seed := uint64(90); seed < 94; seed++ {
 		sim := newSimulation(seed, 5, engines)
 		sim.crashers = newCrashers(sim, 1<<50)
+		sim.crashers.beforeHead = beforeHead
 		load := []workload{longPrompts(constantRate(30)), shortPrompts(constantRate(45)), longAnswers(constantRate(14))}
 		sim.simulate(5*time.Second, load...)
 		crashing := shortPrompts(constantRate(4))
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -46,7 +46,9 @@
 var crashKinds = []crashKind{
 	{
 		name: "part", crashes: 5,
-		setUp: func(r *replica.Replica, crashed func()) { r.CrashOn(strconv.FormatUint(crashingPart, 16), crashed) },
+		setUp: func(r *replica.Replica, crashed func()) {
+			r.CrashOn(strconv.FormatUint(crashingPart, 16), replica.EitherMoment, crashed)
+		},
 		crashing: func(a replica.Arrival) bool {
 			return replica.HasCrashingPart(a.Header, strconv.FormatUint(crashingPart, 16))
 		},
--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -9,14 +9,27 @@
 // crashDowntime is how long a process is gone after a crash.
 const crashDowntime = 300 * time.Millisecond
 
+// CrashMoment is what a client has received of a stream when its prompt crashes the replica.
+type CrashMoment uint8
+
+// The moments.
+const (
+	// AfterHead is after the head of the answer has left the replica.
+	AfterHead CrashMoment = iota
+	// BeforeHead is while the head is still in the replica, so that the client gets nothing.
+	BeforeHead
+	// EitherMoment is BeforeHead for each second crash of the replica.
+	EitherMoment
+)
+
 // CrashOn sets the identifier, in hexadecimal, of a prompt part that crashes the replica when it
 // begins to write a stream for a prompt with it, unless it is the prompt's last part; empty for none. The
 // process is gone for crashDowntime and starts again under its ID. crashed is called after each crash;
 // it may call the replica's methods.
-func (r *Replica) CrashOn(part string, crashed func()) {
+func (r *Replica) CrashOn(part string, moment CrashMoment, crashed func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashPart, r.crashed = part, crashed
+	r.crashPart, r.crashMoment, r.crashed = part, moment, crashed
 }
 
 // CrashOnTarget sets the request target of requests that crash the replica when it begins to run them; empty for none. The rest is as with
@@ -53,12 +66,16 @@
 	return false
 }
 
-// crashOnPart ends the process if the prompt of a request has the part that crashes it, and reports whether it did.
-func (r *Replica) crashOnPart(request *http.Request) bool {
+// crashOnPart ends the process if the prompt of a request has the part that crashes it and does so at
+// this moment, and reports whether it did.
+func (r *Replica) crashOnPart(request *http.Request, now CrashMoment) bool {
 	r.mu.Lock()
-	part := r.crashPart
+	part, moment := r.crashPart, r.crashMoment
+	if moment == EitherMoment {
+		moment = CrashMoment(len(r.crashes) % 2)
+	}
 	r.mu.Unlock()
-	return HasCrashingPart(request.Header, part) && r.crash()
+	return now == moment && HasCrashingPart(request.Header, part) && r.crash()
 }
 
 // crashOnTarget ends the process after a delay if the target of a request crashes it, and reports whether it did.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -87,6 +87,8 @@
 	arrivals   []Arrival
 	extra      string // header lines added to each response
 	crashPart  string // identifier of the prompt part that crashes the process; empty for none
+	// crashMoment is when crashPart crashes the process.
+	crashMoment CrashMoment
 	// crashTarget is the request target that crashes the process; empty for none.
 	crashTarget string
 	crashed     func()      // called after each crash
@@ -425,11 +427,14 @@
 	if unframed {
 		framing = ""
 	}
+	if r.crashOnPart(request, BeforeHead) {
+		return false
+	}
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", id, r.ID, statements, framing)
 	if fault == EmptyStream {
 		return false
 	}
-	if r.crashOnPart(request) {
+	if r.crashOnPart(request, AfterHead) {
 		return false
 	}
 	for n := lastID + 1; n <= streamEvents; n++ {
