--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -78,6 +78,7 @@
 	reader    *bufio.Reader
 	reused    bool
 	idleUntil time.Time // not reused after this time
+	carried   carried
 	// Confirmed means that the endpoint's process is known to be the one in its registry entry.
 	Confirmed bool
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,7 @@
 // the connection afterwards. The end of ctx aborts it.
 func (a *attempt) try(ctx context.Context, service string) (attemptEnd, placement.Result) {
 	g, c := a.gateway, a.call
-	conn, err := g.pool.Get(ctx, a.key, g.connectionLimit(c.config, service), false)
+	conn, err := a.connect(ctx, g.connectionLimit(c.config, service))
 	if err != nil {
 		c.cause = err.Error()
 		if errors.Is(err, endpointconn.ErrFull) {
@@ -118,11 +118,24 @@
 	return end, result
 }
 
+// connect returns a connection on which no earlier request had the identifier of this one: a client may send a request that
+// was refused under the same identifier again, and the endpoint its answer.
+func (a *attempt) connect(ctx context.Context, limit int) (*endpointconn.Conn, error) {
+	pool, id := a.gateway.pool, a.call.request.ID
+	conn, err := pool.Get(ctx, a.key, limit, false)
+	if err != nil || !conn.Carried(id) {
+		return conn, err
+	}
+	pool.Discard(a.key, conn)
+	return pool.Get(ctx, a.key, limit, true)
+}
+
 // exchange sends the request and handles the answer. The returned answer is nil
 // if the connection must not be used again.
 func (a *attempt) exchange() (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	g, c := a.gateway, a.call
 	a.recordSent()
+	a.conn.Carry(c.request.ID)
 	if err := a.conn.Write(a.encodeRequest()); err != nil {
 		c.possibleRuns++
 		c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -38,6 +38,7 @@
 	UnframedStream    Fault = "unframed-stream" // ends a stream by closing the connection, without length or chunks
 	EmptyStream       Fault = "empty-stream"    // as UnframedStream, before the first event
 	UnframedCut       Fault = "unframed-cut"    // as UnframedStream, in the middle of the third event that it writes
+	RepeatedRefusal   Fault = "refusal-again"   // writes the last refusal on the connection again while it executes a request
 	MalformedResponse Fault = "wrong-reply"     // sends bytes that are not an HTTP response and closes the connection
 )
 
@@ -80,6 +81,7 @@
 	accepted   int
 	born       int64 // Unix time of the process's start in milliseconds
 	conns      map[net.Conn]bool
+	refusals   map[net.Conn]string // last one written on each connection
 	leaving    Leaving
 	pause      float64 // seconds named in the Retry-After header of refusals; 0 for none
 	version    string  // named in the data of each stream event; empty for none
@@ -115,7 +117,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("step=listen: %w", err)
 	}
-	r := &Replica{ID: id, listener: listener, delay: time.Millisecond, born: FirstBorn, conns: make(map[net.Conn]bool)}
+	r := &Replica{ID: id, listener: listener, delay: time.Millisecond, born: FirstBorn, conns: make(map[net.Conn]bool), refusals: make(map[net.Conn]string)}
 	go r.acceptLoop()
 	return r, nil
 }
@@ -250,6 +252,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.conns, conn)
+		delete(r.refusals, conn)
 	}()
 	reader := bufio.NewReader(conn)
 	for {
@@ -285,10 +288,15 @@
 		return writeEndless(conn, endlessChunk)
 	}
 	if fault == NotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, statements)
+		refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, statements)
+		r.mu.Lock()
+		r.refusals[conn] = refusal
+		r.mu.Unlock()
+		fmt.Fprint(conn, refusal)
 		return true
 	}
 	r.mu.Lock()
+	refusal := r.refusals[conn]
 	r.executions = append(r.executions, Execution{ID: id, Method: request.Method, Target: request.RequestURI, Body: body, Header: request.Header})
 	r.mu.Unlock()
 	if r.crashOnTarget(request, delay) {
@@ -314,6 +322,8 @@
 	case MalformedResponse:
 		fmt.Fprint(conn, "\x00\x01\x02 no answer\r\n\r\n")
 		return false
+	case RepeatedRefusal:
+		fmt.Fprint(conn, refusal)
 	case ForeignResponse:
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
