--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -26,6 +26,8 @@
 	suspicionTime = time.Minute
 	// expiryInterval is the time between two removals of what is too old. Each of them visits all suspects.
 	expiryInterval = 500 * time.Millisecond
+	// maxLostParts bounds the suspected parts of one crash.
+	maxLostParts = 512
 	// maxSuspects bounds the suspected parts.
 	maxSuspects = 4096
 )
@@ -182,7 +184,7 @@
 func (l *Ledger) suspectAll(now domain.Instant, c *crash, parts []Part, begun bool) (suspected, blamed []Part) {
 	for _, p := range parts {
 		before, known := c.parts[p]
-		if l.isProven(now, p) || known && (before || !begun) || !known && len(c.parts) >= maxPartsOfCrash {
+		if l.isProven(now, p) || known && (before || !begun) || !known && len(c.parts) >= maxLostParts {
 			continue
 		}
 		c.parts[p] = begun
--- a/internal/crashblame/ledger_test.go
+++ b/internal/crashblame/ledger_test.go
@@ -129,6 +129,28 @@
 	}
 }
 
+// Guards against a part that is never blamed because many requests are lost at each crash and it is the last of them: what
+// is told to peers is bounded, but the parts with most crashes are in it.
+func TestPartOfManyLostRequestsIsBlamed(t *testing.T) {
+	const bad = Part(1 << 60)
+	l, peer := New(0), New(0)
+	for i := range maxCrashes {
+		now := start.Add(time.Duration(i) * time.Second)
+		for n := range 2 * maxPartsOfCrash {
+			l.Lost(now, l.Sent(process(i), []Part{Part(1000*i + n + 1)}))
+		}
+		l.Lost(now, l.Sent(process(i), []Part{bad}))
+		exchange(now, []*Ledger{l, peer})
+	}
+	settled := start.Add((maxCrashes-1)*time.Second + settleCrashTime)
+	assert.DeepEqual(t, l.Tick(settled), []Part{bad})
+	for _, c := range l.News(settled).Crashes {
+		assert.Assert(t, len(c.Parts) <= maxPartsOfCrash)
+	}
+	exchange(settled, []*Ledger{l, peer})
+	assert.Assert(t, peer.IsBlamed([]Part{bad}))
+}
+
 // A request is not tried again once its parts have been under two crashes, so that the third is not
 // caused by the second request already.
 func TestRetryAfterCrashes(t *testing.T) {
--- a/internal/crashblame/news.go
+++ b/internal/crashblame/news.go
@@ -1,6 +1,7 @@
 package crashblame
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,7 +11,7 @@
 const (
 	// newsTime is how long a crash or a proof is told to peers, so that lost messages don't matter.
 	newsTime = 3 * time.Second
-	// maxPartsOfCrash bounds the parts that one process reports of one crash.
+	// maxPartsOfCrash bounds the parts that one process tells of one crash.
 	maxPartsOfCrash = 64
 	// maxNewsCrashes and maxNewsCleared bound the crashes and proofs in one message.
 	maxNewsCrashes, maxNewsCleared = 16, 64
@@ -67,9 +68,22 @@
 			waiting = append(waiting, p)
 		}
 	}
-	slices.Sort(begun)
-	slices.Sort(waiting)
-	return Crash{Process: c.process, Parts: append(begun, waiting...), Begun: len(begun)}
+	l.sortByCrashes(begun)
+	l.sortByCrashes(waiting)
+	parts := append(begun, waiting...)
+	parts = parts[:min(len(parts), maxPartsOfCrash)]
+	return Crash{Process: c.process, Parts: parts, Begun: min(len(begun), len(parts))}
+}
+
+// sortByCrashes sorts parts by the number of crashes that count against them, most first.
+func (l *Ledger) sortByCrashes(parts []Part) {
+	count := func(p Part) int {
+		if s := l.suspects[p]; s != nil {
+			return len(s.crashes)
+		}
+		return 0
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Or(cmp.Compare(count(b), count(a)), cmp.Compare(a, b)) })
 }
 
 // News returns what to tell the peers now.
