--- a/internal/crashblame/ledger_test.go
+++ b/internal/crashblame/ledger_test.go
@@ -151,6 +151,21 @@
 	assert.Assert(t, peer.IsBlamed([]Part{bad}))
 }
 
+// Guards against crashes that peers never hear of: of many at a time, the latest are told first, as the others were told before.
+func TestLatestCrashesAreTold(t *testing.T) {
+	l := New(0)
+	for i := range 3 * maxNewsCrashes {
+		crashes(l, start.Add(time.Duration(i)*time.Millisecond), i, 1, Part(i+1))
+		n := l.News(start.Add(time.Duration(i+50) * time.Millisecond))
+		told := false
+		for _, c := range n.Crashes {
+			told = told || c.Process == process(i)
+		}
+		assert.Assert(t, told, "crash %d", i)
+		assert.Assert(t, len(n.Crashes) <= maxNewsCrashes)
+	}
+}
+
 // A request is not tried again once its parts have been under two crashes, so that the third is not
 // caused by the second request already.
 func TestRetryAfterCrashes(t *testing.T) {
--- a/internal/crashblame/news.go
+++ b/internal/crashblame/news.go
@@ -89,7 +89,8 @@
 // News returns what to tell the peers now.
 func (l *Ledger) News(now domain.Instant) News {
 	var n News
-	for _, c := range l.crashes {
+	// The latest first: the others have been told before.
+	for _, c := range slices.Backward(l.crashes) {
 		if told := l.newsOf(now, c); len(told.Parts) > 0 && len(n.Crashes) < maxNewsCrashes {
 			n.Crashes = append(n.Crashes, told)
 		}
