--- a/internal/crashblame/ledger_test.go
+++ b/internal/crashblame/ledger_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// Guards against crashes that count as one because the endpoint, which starts again under its identifier, says no start: each
+// of them counts. Losses at one crash are noticed within crashInstant.
+func TestCrashesOfEndpointsWithoutStart(t *testing.T) {
+	l := New(0)
+	for i := range 2 * maxCrashes {
+		now := start.Add(time.Duration(i) * 3 * time.Second)
+		for range 3 {
+			r := l.Sent(Process{Endpoint: uint32(i % 2)}, []Part{7})
+			l.Begun(now, r)
+			l.Lost(now.Add(50*time.Millisecond), r)
+		}
+		l.Tick(now.Add(time.Second))
+	}
+	assert.Assert(t, l.IsBlamed([]Part{7}))
+}
+
 // Guards against a part that is never blamed because many requests are lost at each crash and it is the last of them: what
 // is told to peers is bounded, but the parts with most crashes are in it.
 func TestPartOfManyLostRequestsIsBlamed(t *testing.T) {
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -78,7 +78,7 @@
 	},
 }
 
-// crashActions are the actions of TestSoakCrashingParts that actions doesn't have. Between the restarts of two
+// crashActions are the actions of TestSoakCrashes that actions doesn't have. Between the restarts of two
 // gateways there is time for a digest: what is blamed is kept by the gateways only.
 var crashActions = []action{
 	{"gateways restarted one after the other", func(c *cluster, rng *rand.Rand) {
