--- a/cmd/dunlinpulley-router/signals_test.go
+++ b/cmd/dunlinpulley-router/signals_test.go
@@ -22,6 +22,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
+	"github.com/dunlinpulley/dunlinpulley/platform/dialect"
 	"github.com/dunlinpulley/dunlinpulley/platform/settings"
 )
 
@@ -30,6 +31,8 @@
 	waitTimeout = 60 * time.Second
 	// signalInterval is the time between two signals of a series.
 	signalInterval = 5 * time.Millisecond
+	// callTimeout is the time limit of a call.
+	callTimeout = 8 * time.Second
 	// answerDelay is how long an endpoint takes for an answer that is in progress during a stop.
 	answerDelay = 1500 * time.Millisecond
 )
@@ -175,8 +178,9 @@
 		return 0, err
 	}
 	request.Host = "app.example"
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", "8000")
+	for name, values := range (dialect.Dialect{}).CallerHeaders(id, "", callTimeout) {
+		request.Header[name] = values
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err
