Placement: the momentary work time that endpoints report counts in the score

Cause: endpoints share their machines with others and say in the fourth figure of their load how long work takes now. It changes many times a second, faster than the measured slowdown follows, and nothing read it. Not measured under load: with some 5 answers per engine a second over all gateways, one gateway's report is fresh for few of its decisions.

--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -49,6 +49,8 @@
 // endpoint reports with an answer.
 type ReportedLoad struct {
 	Running, Waiting, Slots int
+	// WorkTime is how long work takes there now, in percent of the usual time; 0 if not reported.
+	WorkTime int
 }
 
 // endpointState is an endpoint with this process's records and estimates of it.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -183,7 +183,7 @@
 		if !s.admitsPlain(now) {
 			continue
 		}
-		if score := t.baseScore(now, s); best == nil || score < bestScore {
+		if score := t.baseScore(now, s) + s.workTimeScore(now); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -343,7 +343,7 @@
 
 // engineScore is the sum of the costs of a request at an engine.
 func (t *Table) engineScore(now domain.Instant, svc *service, s *endpointState, q Query, c candidate) float64 {
-	score := t.baseScore(now, s) + s.memoryScore(svc.engine.MemoryTokens, q)
+	score := t.baseScore(now, s) + s.memoryScore(svc.engine.MemoryTokens, q) + s.workTimeScore(now)
 	backlog := float64(s.backlog())
 	if isDecodeHeavy(q) {
 		// The prefill of less urgent prompts goes on after the request has started, and
