Placement: requests stay in their data centre while it has room

Change: an endpoint elsewhere costs 0.4 of its slots and 0.01 for each KB, less as home is shorter of capacity than the other data centre (demand by slots and learned slowdown, wait for prefill by the latency target) and more by the measured delay of the link. Prompts whose shared parts take over 25 ms of prefill are exempt. The decode pool takes its share of each data centre's engines.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -348,7 +348,7 @@
 	}
 	klog.InfoS("request", "request", c.request.ID, "outcome", outcome, "route", c.route.Name, "rank", c.rank, "account", account,
 		"resumes", c.request.Resumes, "version", ticket.Endpoint.Version, "tried", c.tried, "runs", c.possibleRuns, "placed_ms", c.placementDelay.Milliseconds(), "score", ticket.Score,
-		"split", ticket.DecodePoolSize, "own_side", ticket.InPool, "home", ticket.AffinityRank, "demand", ticket.Demand,
+		"data_centre", ticket.Endpoint.DataCentre, "spillover", ticket.Spillover, "split", ticket.DecodePoolSize, "own_side", ticket.InPool, "home", ticket.AffinityRank, "demand", ticket.Demand,
 		"backlog", ticket.Backlog, "unread", ticket.PrefillTokens, "fetched", ticket.FetchTokens, "prefix", lastSharedPart(c.request.Parts),
 		"pace", math.Round(ticket.PrefillSpeed), "duty", math.Round(ticket.PrefillUtilization*100)/100, "ceiling", math.Round(ticket.PrefillCeiling*100)/100, "gap_ms", ticket.EventGap.Milliseconds(), "first_ms", c.timeToFirstEvent.Milliseconds(), "pause_ms", c.maxEventGap.Milliseconds(),
 		"output", c.request.MaxTokens, "expected", c.request.ExpectedTokens, "events", c.events,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		pool:            endpointconn.NewPool(),
 		instruments:     newInstruments(),
 		started:         time.Now(),
-		table:           placement.New(placement.Settings{DataCentre: s.DataCentre, CacheTTL: promptCacheTTL}),
+		table:           placement.New(placement.Settings{DataCentre: s.DataCentre, CacheTTL: promptCacheTTL, Spillover: s.Spillover}),
 		retryBudgets:    make(map[string]*retrybudget.Budget),
 		pendingRemovals: make(map[string]domain.Instant),
 		departures:      departures.New(),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
 
 // Settings are the settings of a gateway.
@@ -47,4 +49,6 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Spillover is the policy for requests that leave the data centre.
+	Spillover placement.Spillover
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -10,7 +10,6 @@
 package placement
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -128,7 +127,7 @@
 
 // service is the endpoints of one service and the estimates common to them.
 type service struct {
-	endpoints        []*endpointState // sorted by idHash
+	endpoints        []*endpointState // in the order of Table.order
 	decodePool       decodePool
 	engine           EngineProfile
 	prefillSpeed     prefillSpeed
@@ -137,6 +136,7 @@
 	busyGap          busyGap
 	prefillCeiling   prefillCeiling
 	starvingPeers    *starvingPeers
+	overflow         overflow
 	prefillDemand    rate // expected prefill of this process's requests that are not decode-heavy, in tokens per second
 }
 
@@ -147,6 +147,8 @@
 	DataCentre string
 	// CacheTTL is how long a prompt part is assumed to stay cached after its last use.
 	CacheTTL time.Duration
+	// Spillover is the policy for requests that leave DataCentre.
+	Spillover Spillover
 }
 
 // New returns an empty table.
@@ -192,9 +194,7 @@
 	}
 	svc := t.service(e.Service)
 	svc.endpoints = append(svc.endpoints, s)
-	slices.SortFunc(svc.endpoints, func(a, b *endpointState) int {
-		return cmp.Or(cmp.Compare(a.idHash, b.idHash), cmp.Compare(a.ID, b.ID))
-	})
+	t.order(svc.endpoints)
 }
 
 // service returns the service of a name, and creates it if there is none.
@@ -235,6 +235,7 @@
 	delete(t.byHash, s.hash())
 	svc := t.services[s.Service]
 	svc.endpoints = slices.DeleteFunc(svc.endpoints, func(other *endpointState) bool { return other == s })
+	t.order(svc.endpoints)
 }
 
 // Endpoint returns the registry entry of an endpoint.
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -65,6 +65,7 @@
 		ticket.byteReceived = true
 		t.recordRead(now, ticket)
 		svc := t.service(ticket.Endpoint.Service)
+		svc.observeLink(now, ticket)
 		if ticket.hasPrompt && svc.prefillSpeed.tokensPerMs > 0 {
 			latency, expectedLatency := now.Sub(ticket.placedAt), svc.prefillSpeed.expectedLatency(ticket.Backlog+ticket.PrefillTokens)
 			ticket.endpointState.measuredSlowdown.observe(now, latency, expectedLatency, endpointSlowdownWeight)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -74,6 +74,8 @@
 	PrefillCeiling float64
 	// EventGap is the mean time between two events of its streams; 0 if not known.
 	EventGap time.Duration
+	// Spillover is why the request leaves the data centre.
+	Spillover SpilloverReason
 
 	rank            int
 	deadline        domain.Instant // of the request; 0 if it has none
@@ -165,7 +167,7 @@
 		return nil, Obstacles{}
 	}
 	if len(q.Parts) == 0 {
-		return t.pickPlain(now, usable), Obstacles{}
+		return t.pickPlain(now, svc, usable, q), Obstacles{}
 	}
 	ticket, obstacles := t.pickEngine(now, svc, usable, q)
 	if ticket == nil && obstacles[ObstacleDeadline] > 0 && q.mayLeaveAffinity(usable) {
@@ -176,21 +178,23 @@
 }
 
 // pickPlain chooses among the usable endpoints of a plain service.
-func (t *Table) pickPlain(now domain.Instant, usable []*endpointState) *Ticket {
+func (t *Table) pickPlain(now domain.Instant, svc *service, usable []*endpointState, q Query) *Ticket {
 	var best *endpointState
 	var bestScore float64
+	x := t.crossings(now, svc, usable, q, func(*endpointState) bool { return true })
 	for _, s := range usable {
 		if !s.admitsPlain(now) {
 			continue
 		}
-		if score := t.baseScore(now, s) + s.workTimeScore(now); best == nil || score < bestScore {
+		x.examined(s, true)
+		if score := t.baseScore(now, s) + s.workTimeScore(now) + x.of(s, 0); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	return t.place(now, best, load{inFlight: 1}, Ticket{Score: bestScore, Candidates: len(usable)})
+	return t.place(now, best, load{inFlight: 1}, Ticket{Score: bestScore, Candidates: len(usable), Spillover: x.reason(best)})
 }
 
 // pickEngine chooses among the usable engines of a model service. It also returns the
@@ -200,12 +204,14 @@
 	l := t.computeLayout(now, svc, usable, q)
 	var best *endpointState
 	var bestCandidate candidate
+	x := t.crossings(now, svc, usable, q, l.isForPool)
 	t.examine(now, svc, usable, q, l, func(s *endpointState, c candidate, o Obstacle) {
 		obstacles[o]++
 		if o != ObstacleNone {
 			return
 		}
-		c.score = t.engineScore(now, svc, s, q, c)
+		x.examined(s, true)
+		c.score = t.engineScore(now, svc, s, q, c) + x.of(s, c.cachedTokens(q))
 		if best == nil || c.score < bestCandidate.score {
 			best, bestCandidate = s, c
 		}
@@ -224,6 +230,7 @@
 		AffinityRank: bestCandidate.affinityRank, Demand: best.demand(now),
 		PrefillSpeed: svc.prefillSpeed.tokens(), PrefillUtilization: best.prefillUtilization(now, svc), PrefillCeiling: l.prefillLimit, EventGap: best.meanEventGap(now), estimatedTokens: q.estimatedTokens(), hasPrompt: true, rank: q.Rank, deadline: q.Deadline, target: q.Target,
 		sharedParts: q.Parts[:len(q.Parts)-1], FetchTokens: bestCandidate.fetchTokens,
+		Spillover: x.reason(best),
 	}
 	if bestCandidate.source != nil {
 		ticket.FetchFrom = bestCandidate.source.Address
@@ -331,7 +338,7 @@
 func (l layout) candidate(s *endpointState, q Query) candidate {
 	affinityRank := l.affinityEndpoints.rank(s)
 	return candidate{
-		inPool:           l.decodePoolSize == 0 || l.poolUnusable || l.poolRange.contains(s),
+		inPool:           l.isForPool(s),
 		outsideAffinity:  (affinityRank == 0 || affinityRank > l.affinityWidth) && !l.affinityUnhealthy,
 		formerDecodePool: l.formerDecodePool.contains(s),
 		affinityRank:     affinityRank,
@@ -379,7 +386,7 @@
 // there are any, those that are responsive and not in backoff.
 func (t *Table) usable(now domain.Instant, all []*endpointState, q Query) []*endpointState {
 	var eligible, available []*endpointState
-	for _, s := range all {
+	for _, s := range t.homeOnly(all) {
 		if !s.accepts() || slices.Contains(q.Exclude, s.ID) || !t.withinLimit(now, s) || s.pause.active(now) || !s.atVersion(q.Version) {
 			continue
 		}
--- a/internal/replay/engine_test.go
+++ b/internal/replay/engine_test.go
@@ -70,6 +70,7 @@
 type engine struct {
 	engineSpec
 	id         string
+	dataCentre string
 	address    netip.AddrPort
 	others     []*engine     // engines to fetch parts from
 	stepEnd    time.Duration // end of the last step; follows the simulated time while idle
--- a/internal/replay/simulation_test.go
+++ b/internal/replay/simulation_test.go
@@ -135,6 +135,7 @@
 	now      time.Duration
 	// firstShare is the share of the requests that arrive at the first gateway beyond an equal one.
 	firstShare float64
+	sites      *sites    // nil if all is in one data centre
 	crashers   *crashers // nil if no prompt crashes engines
 	parts      uint64    // identifier of the last request's own prompt part; starts above those of shared parts
 }
@@ -192,7 +193,7 @@
 // newGateway returns a gateway that knows all engines and no peers.
 func (sim *simulation) newGateway() *gatewayModel {
 	g := &gatewayModel{
-		table:  placement.New(placement.Settings{CacheTTL: 30 * time.Second}),
+		table:  placement.New(sim.sites.settings(len(sim.gateways))),
 		queued: make(map[*waitqueue.Waiter]*request),
 	}
 	spec := sim.engines[0].engineSpec
@@ -319,6 +320,9 @@
 
 // pickGateway draws the gateway that a request arrives at.
 func (sim *simulation) pickGateway() int {
+	if sim.sites != nil {
+		return sim.sites.pickGateway(sim)
+	}
 	if sim.firstShare > 0 && sim.rng.Float64() < sim.firstShare {
 		return 0
 	}
@@ -377,6 +381,7 @@
 	if q.ended {
 		return
 	}
+	at += sim.sites.delay(sim, q)
 	sim.crashers.event(q, slices.Index(sim.engines, sim.engineOf(q.ticket)), at, last)
 	g := sim.gateways[q.gateway]
 	g.table.RecordReceived(domain.Instant(at)+1, q.ticket, 1)
