Placement: core and replays of spillover to other data centres

Cause: the first version had maps where three data centres need a short list, no report of what leaves and no tests of its cases.

Change: the costs of one request are kept by data centre in a list, home first; stale answers don't count for the delay of a link; Table.Spillover reports for each service whether requests leave, with hysteresis.

--- a/internal/placement/linkdelay.go
+++ b/internal/placement/linkdelay.go
@@ -43,16 +43,18 @@
 
 // current returns the shortest time, or false if it is not known.
 func (l *linkDelay) current(now domain.Instant) (time.Duration, bool) {
-	known := l != nil && l.lastAt > 0 && now.Sub(l.lastAt) < linkMemory
-	switch {
-	case l == nil || !known && l.samples < minLinkSamples:
+	if l == nil {
 		return 0, false
-	case !known:
-		return l.shortest, true
-	case l.samples > 0:
+	}
+	known := l.lastAt > 0 && now.Sub(l.lastAt) < linkMemory
+	recent := l.samples > 0 && now.Sub(l.windowAt) < linkMemory
+	switch {
+	case known && recent:
 		return min(l.shortest, l.last), true
-	default:
+	case known:
 		return l.last, true
+	default:
+		return l.shortest, recent && l.samples >= minLinkSamples
 	}
 }
 
--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -115,11 +115,15 @@
 
 // observe returns the shortage after a further observation.
 func (h *heldShortage) observe(now domain.Instant, shortage float64) float64 {
-	held := h.value * math.Exp(-float64(now.Sub(h.at))/float64(shortageTimeConstant))
-	h.value, h.at = max(shortage, held), now
+	h.value, h.at = max(shortage, h.current(now)), now
 	return h.value
 }
 
+// current returns the shortage without a further observation.
+func (h *heldShortage) current(now domain.Instant) float64 {
+	return h.value * math.Exp(-float64(now.Sub(h.at))/float64(shortageTimeConstant))
+}
+
 // siteKey identifies the requests of a service that share the endpoints of a data centre.
 type siteKey struct {
 	dataCentre  string
@@ -131,6 +135,7 @@
 type overflow struct {
 	held  map[siteKey]*heldShortage
 	links map[string]*linkDelay // by data centre
+	share spilloverShare
 }
 
 // observe records a shortage and returns the one that applies.
@@ -146,63 +151,76 @@
 	return h.observe(now, shortage)
 }
 
+// site is a data centre as one request sees it.
+type site struct {
+	dataCentre string
+	load       siteLoad
+	shortage   float64
+	linkCost   float64 // of the delay of the link to it
+}
+
 // crossings are the costs of a request at the endpoints of other data centres. The zero value has none.
 type crossings struct {
-	home     string
-	active   bool
-	cost     float64            // while home has room
-	fixed    float64            // in any case
-	shortage map[string]float64 // by data centre
-	link     map[string]float64 // cost of the delay, by data centre
-	large    bool               // whether the shared parts of the prompt are long
-	usable   bool               // whether home has a usable endpoint
-	hasRoom  bool               // whether one of these can start the request
+	home    string
+	active  bool
+	cost    float64 // while home has room
+	fixed   float64 // in any case
+	sites   []site  // empty if inactive, otherwise home is the first
+	large   bool    // whether the shared parts of the prompt are long
+	present bool    // whether home has a usable endpoint
+	hasRoom bool    // whether one of these can start the request
 }
 
 // crossings returns the costs for a request. in reports whether an endpoint is one of those that the request is for.
 func (t *Table) crossings(now domain.Instant, svc *service, usable []*endpointState, q Query, in func(*endpointState) bool) crossings {
-	x := crossings{home: t.settings.DataCentre, usable: slices.ContainsFunc(usable, t.isHome)}
-	if t.settings.Spillover.Mode != SpilloverAuto || !slices.ContainsFunc(usable, func(s *endpointState) bool { return !t.isHome(s) }) {
+	x := crossings{home: t.settings.DataCentre, present: slices.ContainsFunc(usable, t.isHome)}
+	elsewhere := func(s *endpointState) bool { return !t.isHome(s) }
+	if t.settings.Spillover.Mode != SpilloverAuto || !slices.ContainsFunc(usable, elsewhere) {
 		return x
 	}
-	target := cmp.Or(q.Target, defaultTarget)
 	x.active, x.large = true, q.hasLongSharedParts(svc)
 	x.fixed = q.crossingKB() * t.settings.Spillover.Price
 	if !x.large {
 		x.cost = crossingCost + q.crossingKB()*crossingCostPerKB
 	}
-	sites := siteLoads(now, svc, usable, q, in)
-	if _, ok := sites[x.home]; !ok {
-		sites[x.home] = siteLoad{}
-	}
-	x.shortage, x.link = make(map[string]float64, len(sites)), make(map[string]float64, len(sites))
-	for dataCentre, load := range sites {
-		key := siteKey{dataCentre: dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q)}
-		x.shortage[dataCentre] = svc.overflow.observe(now, key, load.shortage(target))
-		x.link[dataCentre] = float64(svc.overflow.extraDelay(now, x.home, dataCentre)) / (linkCostShare * float64(target))
+	x.sites = sitesOf(now, svc, x.home, usable, q, in)
+	target := cmp.Or(q.Target, defaultTarget)
+	for i := range x.sites {
+		site := &x.sites[i]
+		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q)}
+		site.shortage = svc.overflow.observe(now, key, site.load.shortage(target))
+		site.linkCost = float64(svc.overflow.extraDelay(now, x.home, site.dataCentre)) / (linkCostShare * float64(target))
 	}
 	return x
 }
 
-// siteLoads returns the loads of the data centres' endpoints that a request is for.
-func siteLoads(now domain.Instant, svc *service, usable []*endpointState, q Query, in func(*endpointState) bool) map[string]siteLoad {
-	sites := make(map[string]siteLoad)
+// sitesOf returns the data centres with the loads of the endpoints that a request is for, home first.
+func sitesOf(now domain.Instant, svc *service, home string, usable []*endpointState, q Query, in func(*endpointState) bool) []site {
+	sites := []site{{dataCentre: home}}
 	for _, s := range usable {
 		if !in(s) {
 			continue
 		}
-		l, ratio := sites[s.DataCentre], s.slowdown(now, svc)
-		l.endpoints++
-		l.demand += float64(s.demand(now))
-		l.slots += float64(s.slots()) / ratio
-		if len(q.Parts) > 0 {
-			l.wait += time.Duration(s.backlogAhead(q) / svc.prefillSpeed.tokens() * ratio * float64(time.Millisecond))
+		at := slices.IndexFunc(sites, func(other site) bool { return other.dataCentre == s.DataCentre })
+		if at < 0 {
+			at, sites = len(sites), append(sites, site{dataCentre: s.DataCentre})
 		}
-		sites[s.DataCentre] = l
+		sites[at].load.add(now, svc, s, q)
 	}
 	return sites
 }
 
+// add adds the load of an endpoint, as it is for a request.
+func (l *siteLoad) add(now domain.Instant, svc *service, s *endpointState, q Query) {
+	ratio := s.slowdown(now, svc)
+	l.endpoints++
+	l.demand += float64(s.demand(now))
+	l.slots += float64(s.slots()) / ratio
+	if len(q.Parts) > 0 {
+		l.wait += time.Duration(s.backlogAhead(q) / svc.prefillSpeed.tokens() * ratio * float64(time.Millisecond))
+	}
+}
+
 // isHome reports whether an endpoint is in this process's data centre.
 func (t *Table) isHome(s *endpointState) bool { return s.DataCentre == t.settings.DataCentre }
 
@@ -224,13 +242,18 @@
 	if !x.active || s.DataCentre == x.home {
 		return 0
 	}
+	at := slices.IndexFunc(x.sites, func(other site) bool { return other.dataCentre == s.DataCentre })
+	if at < 0 {
+		// None of the endpoints there is one that the request is for.
+		return x.cost + x.fixed
+	}
 	cost := x.cost
 	if !x.large {
 		// Short parts are prefilled at home once, and are there for the next requests.
 		cost += cachedTokens * newPrefillWeight / fullBacklogTokens
 	}
-	surplus := max(x.shortage[x.home]-x.shortage[s.DataCentre], 0)
-	return cost*(1-surplus) + x.link[s.DataCentre] + x.fixed
+	surplus := max(x.sites[0].shortage-x.sites[at].shortage, 0)
+	return cost*(1-surplus) + x.sites[at].linkCost + x.fixed
 }
 
 // isForPool reports whether an engine counts as in the pool of the request.
@@ -243,17 +266,15 @@
 	return float64(sharedTokens(q.Parts)-c.fetchTokens) - c.sharedPrefillTokens(q)
 }
 
-// examined records whether an endpoint can start the request.
-func (x *crossings) examined(s *endpointState, starts bool) {
-	x.hasRoom = x.hasRoom || starts && s.DataCentre == x.home
-}
+// admit records that an endpoint can start the request.
+func (x *crossings) admit(s *endpointState) { x.hasRoom = x.hasRoom || s.DataCentre == x.home }
 
 // reason returns why a request leaves for an endpoint.
 func (x *crossings) reason(s *endpointState) SpilloverReason {
 	switch {
 	case s.DataCentre == x.home:
 		return SpilloverNone
-	case !x.usable:
+	case !x.present:
 		return SpilloverNoEndpoint
 	case x.large:
 		return SpilloverPrefix
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -186,7 +186,7 @@
 		if !s.admitsPlain(now) {
 			continue
 		}
-		x.examined(s, true)
+		x.admit(s)
 		if score := t.baseScore(now, s) + s.workTimeScore(now) + x.of(s, 0); best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -210,7 +210,7 @@
 		if o != ObstacleNone {
 			return
 		}
-		x.examined(s, true)
+		x.admit(s)
 		c.score = t.engineScore(now, svc, s, q, c) + x.of(s, c.cachedTokens(q))
 		if best == nil || c.score < bestCandidate.score {
 			best, bestCandidate = s, c
@@ -474,6 +474,7 @@
 	}
 	s.local.add(l, 1)
 	s.recordSent(now)
+	t.service(s.Service).overflow.share.observe(now, ticket.Spillover)
 	if s.pause.returning(now) {
 		s.pause.probe = &ticket
 	}
--- a/internal/replay/sites_test.go
+++ b/internal/replay/sites_test.go
@@ -111,3 +111,28 @@
 	}
 	return float64(crossed) / max(float64(placed), 1)
 }
+
+// crossedTo returns the number of requests of a workload that were placed in a data centre by gateways of others.
+func (sim *simulation) crossedTo(kind, site string, from, to time.Duration) int {
+	n := 0
+	for _, q := range sim.requests {
+		if q.kind == kind && q.arrived >= from && q.arrived < to && sim.crossed(q) && q.ticket.Endpoint.DataCentre == site {
+			n++
+		}
+	}
+	return n
+}
+
+// metAt returns the fraction of the requests of a workload at the gateways of a data centre that met their targets.
+func (sim *simulation) metAt(kind, site string) float64 {
+	n, met := 0, 0
+	for _, q := range sim.requests {
+		if q.kind == kind && sim.sites.of(q.gateway) == site {
+			n++
+			if q.metTargets() {
+				met++
+			}
+		}
+	}
+	return float64(met) / max(float64(n), 1)
+}
