--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,7 @@
 // reports the result to the placement table and the metrics.
 func (g *Gateway) attempt(ctx context.Context, c *call, service string, t *placement.Ticket) attemptEnd {
 	c.tried = append(c.tried, t.Endpoint.ID)
+	g.countPlacement(t)
 	a := &attempt{gateway: g, call: c, ticket: t, key: connectionKey(t.Endpoint)}
 	end, result := a.try(ctx, service)
 	a.recordCrash(ctx, end, result)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,6 +265,7 @@
 		g.expireStreams()
 		g.askHistory()
 		g.logEndedPauses()
+		g.reportSpillover()
 		g.closeOverdue()
 		configAge, _ := g.validity.Age(bootclock.Now())
 		g.updateGauges(configAge)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	requestsByOutcome map[string]tally.Counter
 	attemptsByResult  map[placement.Result]tally.Counter
 	rejectedByStatus  map[int]tally.Counter
+	placements        map[placementSeries]tally.Counter // guarded by Gateway.mu
 	retries           tally.Counter
 	// streamsTakenUp and streamsNotTakenUp count requests that take up a stream by whether its
 	// version is known and serves, streamsNotRecorded streams for which there was no room.
@@ -55,6 +56,7 @@
 		requestsByOutcome:  make(map[string]tally.Counter),
 		attemptsByResult:   make(map[placement.Result]tally.Counter),
 		rejectedByStatus:   make(map[int]tally.Counter),
+		placements:         make(map[placementSeries]tally.Counter),
 		retries:            scope.Counter("repeats_total"),
 		streamsTakenUp:     scope.Tagged(map[string]string{"result": "allowed"}).Counter("streams_taken_up_total"),
 		streamsNotTakenUp:  scope.Tagged(map[string]string{"result": "refused"}).Counter("streams_taken_up_total"),
