Crash records: resets of connections without crashes are tested

TestResetsWithoutCrashesBlameNothing plays such resets at three gateways, by the replicas and by the network, four times each, before the heads of answers.

--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -77,6 +77,7 @@
 	mu         sync.Mutex
 	fault      Fault
 	delay      time.Duration
+	heldHeads  chan struct{} // closed when heads of streams are written again; nil while they are
 	executions []Execution
 	accepted   int
 	born       int64 // Unix time of the process's start in milliseconds
@@ -145,6 +146,39 @@
 	r.delay = d
 }
 
+// HoldHeads makes streams wait before their heads until the returned function is called.
+func (r *Replica) HoldHeads() (release func()) {
+	held := make(chan struct{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heldHeads = held
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.heldHeads = nil
+		close(held)
+	}
+}
+
+// awaitHead waits until heads of streams are written.
+func (r *Replica) awaitHead() {
+	r.mu.Lock()
+	held := r.heldHeads
+	r.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
+// ResetConns ends the open connections, as a network does that resets them; the process goes on.
+func (r *Replica) ResetConns() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		closeQuietly(conn)
+	}
+}
+
 // SetLimit sets the limit, in requests per second, that responses name in the Server-Limit
 // header. 0 ends it. The replica does not enforce it.
 func (r *Replica) SetLimit(perSecond float64) {
@@ -324,6 +358,7 @@
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
+		r.awaitHead()
 		return r.writeStream(conn, request, statements, fault, delay)
 	}
 	time.Sleep(delay)
