Unframed streams: losses that peers tell of count (ORDER)

A stream without a length or chunks, whose endpoint crashes between two events, was passed on as complete if no other request of this gateway was lost there.

Cause: LostLately knew the losses of this gateway only. Change: the ledger remembers when peers first told of a crash of a process; it counts for 0.1 s from then on, as an own loss does. 256 processes at most.

TestPeersTellOfLosses guards the time.

--- a/internal/crashblame/confirm_test.go
+++ b/internal/crashblame/confirm_test.go
@@ -90,6 +90,21 @@
 	assert.DeepEqual(t, l.Tick(settled), []Part{7, 8})
 }
 
+// Guards against an unframed stream that is passed on as complete, as only another gateway has lost a request in the crash that ended it; and against
+// streams that are taken for broken off as long as the crash is told.
+func TestPeersTellOfLosses(t *testing.T) {
+	l, peer := New(0), New(0)
+	lost := peer.Sent(process(1), []Part{7})
+	peer.Begun(start, lost)
+	peer.Lost(start, lost)
+	for ms := time.Duration(0); ms < 2*newsTime; ms += 10 * time.Millisecond {
+		now := start.Add(ms)
+		exchange(now, []*Ledger{l, peer})
+		assert.Equal(t, l.LostLately(now, process(1)), ms <= crashInstant, "%s after the loss", ms)
+		assert.Assert(t, !l.LostLately(now, process(2)))
+	}
+}
+
 // A proof after the loss ends what waits for the confirmation.
 func TestProofBeforeConfirmation(t *testing.T) {
 	l := New(0)
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -96,13 +96,15 @@
 	// unconfirmed are losses before the head of an answer, oldest first; gone are processes that have ended, and when that was found.
 	unconfirmed []*unconfirmedLoss
 	gone        map[Process]domain.Instant
+	// told are processes that peers tell crashes of.
+	told map[Process]told
 }
 
 // New returns a ledger that knows nothing. startedAt is the start of this process.
 func New(startedAt domain.Instant) *Ledger {
 	return &Ledger{
 		settling: make(map[*Run]bool), heard: make(map[Process]domain.Instant), heads: make(map[uint32]bool), proofs: make(map[Part]domain.Instant), suspects: make(map[Part]*suspicion), blames: make(map[Part]*blame),
-		cleared: make(map[Part]domain.Instant), pending: make(map[Part]bool), gone: make(map[Process]domain.Instant), probing: prober{startedAt: startedAt},
+		cleared: make(map[Part]domain.Instant), pending: make(map[Part]bool), gone: make(map[Process]domain.Instant), told: make(map[Process]told), probing: prober{startedAt: startedAt},
 	}
 }
 
@@ -254,9 +256,10 @@
 // crashInstant is the time within which the loss of all requests at a crashing endpoint is noticed.
 const crashInstant = 100 * time.Millisecond
 
-// LostLately reports whether a request was lost at a process a moment ago.
+// LostLately reports whether a request was lost at a process a moment ago, or a peer told so then for the first time.
 func (l *Ledger) LostLately(now domain.Instant, process Process) bool {
-	return slices.ContainsFunc(l.crashes, func(c crash) bool { return c.process == process && now.Sub(c.lastAt) <= crashInstant })
+	t, ok := l.told[process]
+	return ok && now.Sub(t.firstAt) <= crashInstant || slices.ContainsFunc(l.crashes, func(c crash) bool { return c.process == process && now.Sub(c.lastAt) <= crashInstant })
 }
 
 // Tick has to be called a few times a second. It proves the parts of answers that have settled and forgets
--- a/internal/crashblame/ledger_test.go
+++ b/internal/crashblame/ledger_test.go
@@ -303,5 +303,5 @@
 	n := l.News(start)
 	assert.Assert(t, len(n.Crashes) <= maxNewsCrashes && len(n.Cleared) <= maxNewsCleared)
 	l.Tick(start.Add(2 * blameTime))
-	assert.Equal(t, len(l.suspects)+len(l.blames)+len(l.proofs)+len(l.crashes)+len(l.settling)+len(l.cleared)+len(l.heard)+len(l.pending)+len(l.unconfirmed)+len(l.gone), 0)
+	assert.Equal(t, len(l.suspects)+len(l.blames)+len(l.proofs)+len(l.crashes)+len(l.settling)+len(l.cleared)+len(l.heard)+len(l.pending)+len(l.unconfirmed)+len(l.gone)+len(l.told), 0)
 }
--- a/internal/crashblame/news.go
+++ b/internal/crashblame/news.go
@@ -15,6 +15,8 @@
 	maxPartsOfCrash = 64
 	// maxNewsCrashes and maxNewsCleared bound the crashes and proofs in one message.
 	maxNewsCrashes, maxNewsCleared = 16, 64
+	// maxTold bounds the processes of which it is remembered when peers told of their crashes.
+	maxTold = 256
 )
 
 // Crash is a crash that a process has seen, with the parts that it suspects.
@@ -116,6 +118,7 @@
 		l.acquit(p)
 	}
 	for _, c := range n.Crashes {
+		l.recordTold(now, c.Process)
 		if c.Begun < len(c.Parts) && c.Process.Start != 0 {
 			// Of requests whose answers had not begun, peers tell once they know that the process is gone.
 			_, confirmed := l.Gone(now, c.Process)
@@ -140,6 +143,22 @@
 	return blamed
 }
 
+// told is when peers first and last told a crash of a process.
+type told struct{ firstAt, lastAt domain.Instant }
+
+// recordTold records that a peer tells a crash of a process.
+func (l *Ledger) recordTold(now domain.Instant, process Process) {
+	t, ok := l.told[process]
+	if !ok && len(l.told) >= maxTold {
+		return
+	}
+	if !ok {
+		t.firstAt = now
+	}
+	t.lastAt = now
+	l.told[process] = t
+}
+
 // answerProven reports whether a part that a peer suspects or blames is proven, and has the peer told
 // of that.
 func (l *Ledger) answerProven(now domain.Instant, p Part) bool {
@@ -158,4 +177,9 @@
 			delete(l.cleared, p)
 		}
 	}
+	for process, t := range l.told {
+		if now.Sub(t.lastAt) >= newsTime {
+			delete(l.told, process)
+		}
+	}
 }
