--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -244,7 +244,8 @@
 			return false
 		}
 	}
-	if end == attemptFailed && !g.mayRetryParts(c) {
+	// A probe that is refused would reach one endpoint after the other and could crash each.
+	if (end == attemptFailed || c.probedPart != 0) && !g.mayRetryParts(c) {
 		c.cause += ", endpoints have crashed under it"
 		return false
 	}
