Placement: no loads of data centres for prompts with long shared parts

Cause: the loads of the data centres were computed for each request, also for prompts that the costs exempt.

Change: these stop before.

--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -165,7 +165,7 @@
 	active  bool
 	cost    float64 // while home has room
 	fixed   float64 // in any case
-	sites   []site  // empty if inactive, otherwise home is the first
+	sites   []site  // home first; empty if inactive or large
 	large   bool    // whether the shared parts of the prompt are long
 	present bool    // whether home has a usable endpoint
 	hasRoom bool    // whether one of these can start the request
@@ -180,9 +180,10 @@
 	}
 	x.active, x.large = true, q.hasLongSharedParts(svc)
 	x.fixed = q.crossingKB() * t.settings.Spillover.Price
-	if !x.large {
-		x.cost = crossingCost + q.crossingKB()*crossingCostPerKB
+	if x.large {
+		return x
 	}
+	x.cost = crossingCost + q.crossingKB()*crossingCostPerKB
 	x.sites = sitesOf(now, svc, x.home, usable, q, in)
 	target := cmp.Or(q.Target, defaultTarget)
 	for i := range x.sites {
@@ -242,16 +243,16 @@
 	if !x.active || s.DataCentre == x.home {
 		return 0
 	}
+	if x.large {
+		return x.fixed
+	}
 	at := slices.IndexFunc(x.sites, func(other site) bool { return other.dataCentre == s.DataCentre })
 	if at < 0 {
 		// None of the endpoints there is one that the request is for.
 		return x.cost + x.fixed
 	}
-	cost := x.cost
-	if !x.large {
-		// Short parts are prefilled at home once, and are there for the next requests.
-		cost += cachedTokens * newPrefillWeight / fullBacklogTokens
-	}
+	// Short parts are prefilled at home once, and are there for the next requests.
+	cost := x.cost + cachedTokens*newPrefillWeight/fullBacklogTokens
 	surplus := max(x.sites[0].shortage-x.sites[at].shortage, 0)
 	return cost*(1-surplus) + x.sites[at].linkCost + x.fixed
 }
