Peers: partial digests to other data centres below 33 gateways

Change: processes of other data centres get what has changed of the loads, and each twelfth digest whole, as those of the own data centre do in larger deployments. Processes of the version before get whole ones.

Not measured on real load.

--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -90,8 +90,7 @@
 	return a.Endpoint == b.Endpoint && a.Start == b.Start
 }
 
-// sendDigest sends the state of this process to all, or to its row. Peers that know no sums get it whole in any case. met is whether
-// there are peers that have not been listed yet.
+// sendDigest sends the state of this process to all, or to its row. met is whether there are peers that have not been listed yet.
 func (e *Exchange) sendDigest(now time.Time, relayed, met bool, digest placement.PeerDigest, confirmed confirmation.Confirmation, crashes crashblame.News) {
 	size := crashes.Size()
 	if size != e.lastCrashes || now.Sub(e.blamesTold) >= blamesInterval {
@@ -102,26 +101,32 @@
 	e.lastCrashes, e.lastDigest, e.lastVersion, e.lastSent = size, digest, confirmed.Version, now
 	e.digests++
 	e.mu.Lock()
-	whole, targets, row := e.members.Targets(), e.members.Legacy(), e.members.Row()
-	var listed, rowListed []ListedPeer
+	// Peers that know no sums get it whole in any case.
+	whole, partial := e.members.Legacy(), e.members.Row()
+	if !relayed {
+		whole, partial = splitTargets(e.members.Targets(), e.members.Elsewhere())
+	}
+	var listed, partialListed []ListedPeer
 	lists := met || e.digests%peerListInterval == 1
 	if lists {
-		// Those of other data centres are listed in sums.
-		listed, rowListed = e.members.List(e.members.Alive(e.now())), e.members.List(e.members.Summed())
+		listed = e.members.List(e.members.Alive(e.now()))
+		partialListed = listed
+		if relayed {
+			// Those of other data centres are listed in sums.
+			partialListed = e.members.List(e.members.Summed())
+		}
 		e.listedPeers = len(listed)
 	}
 	hash := e.members.Hash()
 	wholeDue := e.wholeDue || e.digests%wholeInterval == 0
 	e.wholeDue = false
 	e.mu.Unlock()
-	if !relayed {
-		targets = whole
-	}
-	if len(targets) > 0 {
-		d := e.message()
-		d.ToAll = !relayed
-		if !relayed && lists {
-			d.Members = hash
+	send := func(targets []netip.Addr, d *pb.Digest, digest placement.PeerDigest, listed []ListedPeer) {
+		if !relayed {
+			d.ToAll = true
+			if lists {
+				d.Members = hash
+			}
 		}
 		encodeConfirmation(d, confirmed)
 		encodeDigest(d, digest)
@@ -129,22 +134,14 @@
 		encodeCrashes(d, crashes)
 		e.sendTo(targets, d)
 	}
-	if !relayed {
-		return
+	if len(whole) > 0 {
+		send(whole, e.message(), digest, listed)
 	}
-	before := e.toldLoads
-	e.toldLoads = digest.Loads
-	if !wholeDue {
-		digest.Loads, digest.Partial = placement.ChangedLoads(before, digest.Loads), true
-		e.toldLoads = placement.ApplyLoads(slices.Clone(before), digest.Loads, func(placement.PeerLoad, int) {})
+	if relayed || len(partial) > 0 {
+		d := e.message()
+		d.UnitTokens = relayedUnit
+		send(partial, d, e.partial(digest, wholeDue), partialListed)
 	}
-	d := e.message()
-	d.UnitTokens = relayedUnit
-	encodeConfirmation(d, confirmed)
-	encodeDigest(d, digest)
-	encodePeers(d, rowListed)
-	encodeCrashes(d, crashes)
-	e.sendTo(row, d)
 }
 
 // sendNews tells the processes of other data centres at once what must reach all: crashes, and endpoints that name a limit or leave.
