--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -161,14 +161,15 @@
 
 // crossings are the costs of a request at the endpoints of other data centres. The zero value has none.
 type crossings struct {
-	home    string
-	active  bool
-	cost    float64 // while home has room
-	fixed   float64 // in any case
-	sites   []site  // home first; empty if inactive or large
-	large   bool    // whether the shared parts of the prompt are long
-	present bool    // whether home has a usable endpoint
-	hasRoom bool    // whether one of these can start the request
+	home        string
+	active      bool
+	cost        float64 // while home has room
+	fullBacklog float64 // see service.fullBacklogTokens
+	fixed       float64 // in any case
+	sites       []site  // home first; empty if inactive or large
+	large       bool    // whether the shared parts of the prompt are long
+	present     bool    // whether home has a usable endpoint
+	hasRoom     bool    // whether one of these can start the request
 }
 
 // crossings returns the costs for a request. in reports whether an endpoint is one of those that the request is for.
@@ -183,7 +184,7 @@
 	if x.large {
 		return x
 	}
-	x.cost = crossingCost + q.crossingKB()*crossingCostPerKB
+	x.cost, x.fullBacklog = crossingCost+q.crossingKB()*crossingCostPerKB, svc.fullBacklogTokens()
 	x.sites = sitesOf(now, svc, x.home, usable, q, in)
 	target := cmp.Or(q.Target, defaultTarget)
 	for i := range x.sites {
@@ -252,7 +253,7 @@
 		return x.cost + x.fixed
 	}
 	// Short parts are prefilled at home once, and are there for the next requests.
-	cost := x.cost + cachedTokens*newPrefillWeight/fullBacklogTokens
+	cost := x.cost + cachedTokens*newPrefillWeight/x.fullBacklog
 	surplus := max(x.sites[0].shortage-x.sites[at].shortage, 0)
 	return cost*(1-surplus) + x.sites[at].linkCost + x.fixed
 }
