Usage reports: one gateway at a time reports usage to the provider

Without cloud_api nothing is counted, and digests are as before.

Assumed, in platform/store/transact.go and the stand-in alone: {"writes":[{"table","part","key","value","if_revision"}]} -> 200 with "ver" (the row's new version) and "now_ms", 409 or 412 if the condition fails.

--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -91,13 +91,7 @@
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockoptErr error
-			err := raw.Control(func(fd uintptr) {
-				sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-			})
-			return errors.CombineErrors(err, sockoptErr)
-		},
+		Control:         LimitUnacknowledged,
 	}
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -107,6 +101,15 @@
 	return &Conn{net: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}, nil
 }
 
+// LimitUnacknowledged is the net.Dialer.Control of connections that end if the peer doesn't acknowledge for ackTimeout.
+func LimitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var sockoptErr error
+	err := raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, sockoptErr)
+}
+
 // usable reports whether an idle connection is open and no data has arrived on
 // it. Data that arrives between two requests belongs to neither of them.
 func (c *Conn) usable() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -150,6 +150,10 @@
 	if err != nil {
 		c.possibleRuns++
 		c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
+		// A run begins with the answer: one that the caller gave up before has not, but a lost one may have.
+		if c.http.Context().Err() == nil {
+			g.countRun(c)
+		}
 		return attemptFailed, a.readFailureResult(), nil
 	}
 	answer := g.dialect.ReadAnswer(response.StatusCode, response.Header)
@@ -166,6 +170,7 @@
 	}
 	c.possibleRuns++
 	a.recordBegun()
+	g.countRun(c)
 	if response.StatusCode/100 == 2 && answer.Signature == "" {
 		c.cause = "answer without signature"
 		return attemptFailed, placement.ResultFailed, nil
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -37,6 +37,9 @@
 
 // StoreAnswered records a reading of the store's clock.
 func (g *Gateway) StoreAnswered(sentAt time.Duration, reading confirmation.StoreTime) {
+	if g.usage != nil {
+		g.usage.sawEra(reading.Era)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.storeClock.Observe(sentAt, reading)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	queuedCalls        map[*waitqueue.Waiter]*queuedCall
 
 	callerConns *callerConnTracker
+	usage       *usageReports // nil if usage is not reported
 
 	callerServer, readyServer, metricsServer *http.Server
 }
@@ -136,6 +137,9 @@
 	go g.source.Run(serveCtx, g)
 	go g.sweep(serveCtx)
 	go g.dispatch(serveCtx)
+	if g.usage != nil {
+		go g.usage.run(serveCtx)
+	}
 	go func() {
 		if err := g.peers.Run(serveCtx); err != nil {
 			klog.ErrorS(err, "peer exchange failed")
@@ -222,10 +226,16 @@
 	began := time.Now()
 	g.stopping.Store(true)
 	klog.InfoS("stopping", "grace", g.settings.StopGrace)
+	if g.usage != nil {
+		g.usage.stop()
+	}
 	time.Sleep(unreadyDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.StopGrace-exitMargin))
 	defer cancel()
 	err := g.callerServer.Shutdown(ctx)
+	if g.usage != nil {
+		g.usage.leave()
+	}
 	klog.InfoS("stopped", "took", time.Since(began), "cut", err != nil)
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,16 +37,20 @@
 	// that were blamed, by it or a peer, and partRejections the requests that were not sent for that.
 	partsSuspected, partsBlamed, partRejections tally.Counter
 	crashChecks                                 tally.Counter // processes that were asked whether they run, after a loss
-	timeToFirstEvent                            tally.Histogram
-	requestTime                                 tally.Histogram
-	placementWait                               tally.Histogram
-	waitingRequests                             tally.Gauge
-	config                                      tally.Gauge
-	configAge                                   tally.Gauge
-	peers                                       tally.Gauge
-	datagramsIgnored                            tally.Gauge
-	connectionsDialed                           tally.Gauge
-	blamedParts                                 tally.Gauge
+	// usageFixed, usageDelivered and usageMissed count windows of usage reports whose bodies this gateway has fixed, delivered
+	// or given up, usageCallsFailed its failed calls to the provider, and holderChanges the changes of the lease's holder.
+	usageFixed, usageDelivered, usageMissed, usageCallsFailed, holderChanges tally.Counter
+	leaseHeld                                                                tally.Gauge
+	timeToFirstEvent                                                         tally.Histogram
+	requestTime                                                              tally.Histogram
+	placementWait                                                            tally.Histogram
+	waitingRequests                                                          tally.Gauge
+	config                                                                   tally.Gauge
+	configAge                                                                tally.Gauge
+	peers                                                                    tally.Gauge
+	datagramsIgnored                                                         tally.Gauge
+	connectionsDialed                                                        tally.Gauge
+	blamedParts                                                              tally.Gauge
 }
 
 func newInstruments() *instruments {
@@ -69,6 +73,12 @@
 		partsBlamed:        scope.Counter("prompt_parts_blamed_total"),
 		partRejections:     scope.Counter("prompt_part_rejections_total"),
 		crashChecks:        scope.Counter("crash_checks_total"),
+		usageFixed:         scope.Counter("usage_windows_fixed_total"),
+		usageDelivered:     scope.Counter("usage_windows_delivered_total"),
+		usageMissed:        scope.Counter("usage_windows_missed_total"),
+		usageCallsFailed:   scope.Counter("usage_calls_failed_total"),
+		holderChanges:      scope.Counter("lease_holder_changes_total"),
+		leaseHeld:          scope.Gauge("lease_held"),
 		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
 		requestTime:        scope.Histogram("request_seconds", latencyBuckets),
 		placementWait:      scope.Histogram("placement_wait_seconds", latencyBuckets),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,4 +51,18 @@
 	RetryWindow time.Duration
 	// Spillover is the policy for requests that leave the data centre.
 	Spillover placement.Spillover
+	// Usage says how usage is reported.
+	Usage UsageSettings
+}
+
+// UsageSettings are the settings of usage reports.
+type UsageSettings struct {
+	// Provider is the address of the API that usage is reported to. If it is empty, none is.
+	Provider string
+	// Window is the length of a window, and Late the time from its end until its report is overdue.
+	Window, Late time.Duration
+	// Reentry is the time within which holders of the lease never follow each other in the order A, B, A.
+	Reentry time.Duration
+	// CallsPerSecond is the number of calls that the provider accepts from all gateways together; 0 means no limit.
+	CallsPerSecond float64
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/registryrelay"
+	"github.com/dunlinpulley/dunlinpulley/internal/usage"
 )
 
 const (
@@ -86,6 +87,12 @@
 	PeerStarted(peer netip.Addr)
 	// PeerStreams handles what a peer tells or asks of streams.
 	PeerStreams(peer netip.Addr, m StreamMessage)
+	// LeaseNews returns the newest state of the lease of duties that is known here, or false if there is none.
+	LeaseNews() (usage.News, bool)
+	// PeerLeaseNews handles what a peer knows of it.
+	PeerLeaseNews(n usage.News)
+	// PeerUsage handles a peer's counts of requests, or its acknowledgement of such.
+	PeerUsage(peer netip.Addr, m usage.Message)
 }
 
 // Exchange sends this process's digests to its peers and receives theirs.
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -15,6 +15,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/registryrelay"
 	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
+	"github.com/dunlinpulley/dunlinpulley/internal/usage"
 )
 
 func addr(n byte) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, n}) }
@@ -93,6 +94,12 @@
 	return placement.PeerDigest{}
 }
 
+func (h unexpectedDigestHandler) LeaseNews() (usage.News, bool) { return usage.News{}, false }
+
+func (h unexpectedDigestHandler) PeerLeaseNews(usage.News) {}
+
+func (h unexpectedDigestHandler) PeerUsage(netip.Addr, usage.Message) {}
+
 func (h unexpectedDigestHandler) SetRelaying(bool) {}
 
 func (h unexpectedDigestHandler) SetRegistryRole(registryrelay.Role) {}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -63,6 +63,9 @@
 	if d.Registry != nil {
 		return e.handleRegistry(d.Registry)
 	}
+	if d.Usage != nil {
+		return e.handleUsage(peer, d.Usage)
+	}
 	digest, ok := decode(&d)
 	crashes, crashesOK := decodeCrashes(&d)
 	listed, listedOK := decodePeers(&d)
@@ -93,6 +96,9 @@
 	}
 	e.handler.PeerConfirmation(peer.String(), decodeConfirmation(&d))
 	e.handler.PeerRegistry(decodeRegistryConfirmation(&d))
+	if d.Lease != nil {
+		e.handler.PeerLeaseNews(decodeLease(d.Lease))
+	}
 	if r.introduces {
 		e.introduce(peer)
 	}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -5,6 +5,8 @@
 package routing
 
 import (
+	"iter"
+	"maps"
 	"strings"
 	"time"
 )
@@ -175,6 +177,9 @@
 	return c.accounts[key]
 }
 
+// Accounts returns the client accounts that have keys, by key.
+func (c *Config) Accounts() iter.Seq2[string, *Account] { return maps.All(c.accounts) }
+
 // Rank orders requests by the tier of the account and, within it, by that of the
 // route; 0 is the most urgent. No request of a higher account tier ranks behind one
 // of a lower tier, and requests of one account to routes of different tiers keep
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -60,6 +60,8 @@
 	down         bool
 	delay        time.Duration // before each response, beside the wait of a watch
 	requests     int           // received, including those during outages
+	writes       int           // of them, those that ask for writes
+	writeFault   WriteFault    // of the next one
 	changed      chan struct{} // closed and replaced on each change of rows, history or outage
 }
 
@@ -69,6 +71,7 @@
 	router := chi.NewRouter()
 	router.Get("/api/rows-get", s.getRows)
 	router.Get("/api/rows-feed", s.watchRows)
+	router.Post("/api/rows-tx", s.writeRows)
 	s.router = router
 	return s
 }
@@ -91,6 +94,13 @@
 	}
 }
 
+// Writes returns the number of requests for writes received.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 // SetDelay sets the delay of each response.
 func (s *Store) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -109,6 +119,14 @@
 func (s *Store) write(row Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(row)
+}
+
+// now returns the reading of the steady clock in milliseconds.
+func (s *Store) now() int64 { return (clockStart + time.Since(s.started)).Milliseconds() }
+
+// put changes a row. The caller holds the lock.
+func (s *Store) put(row Row) {
 	s.version++
 	row.Version = s.version
 	id := row.Table + "\x00" + row.Key
@@ -178,7 +196,7 @@
 	table, from := r.URL.Query().Get("table"), r.URL.Query().Get("from")
 	s.mu.Lock()
 	w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
-	p := page{Rows: []Row{}, Version: s.version, Now: (clockStart + time.Since(s.started)).Milliseconds()}
+	p := page{Rows: []Row{}, Version: s.version, Now: s.now()}
 	for _, row := range s.rows {
 		if row.Table == table && row.Key >= from {
 			p.Rows = append(p.Rows, row)
@@ -232,7 +250,7 @@
 // changesSince returns the changes of a table after a version. The caller holds the
 // lock.
 func (s *Store) changesSince(table string, after int64) page {
-	p := page{Rows: []Row{}, Version: s.version, Now: (clockStart + time.Since(s.started)).Milliseconds()}
+	p := page{Rows: []Row{}, Version: s.version, Now: s.now()}
 	for _, row := range s.history {
 		if row.Table == table && row.Version > after {
 			p.Rows = append(p.Rows, row)
