--- a/internal/standin/cloudapi/api.go
+++ b/internal/standin/cloudapi/api.go
@@ -39,19 +39,53 @@
 	Accepted bool
 }
 
+// Rules check calls in the order of their arrival. The zero value has no Reentry.
+type Rules struct {
+	// Reentry is the time within which holders may not follow each other in the order A, B, A.
+	Reentry    time.Duration
+	Calls      []Call
+	Violations []string
+}
+
+func (r *Rules) violate(format string, args ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+}
+
+// Check checks a call against those before it and records it.
+func (r *Rules) Check(call Call) {
+	between := false // whether another holder has acted since the call's holder did
+	for i := len(r.Calls) - 1; i >= 0; i-- {
+		before := r.Calls[i]
+		if before.Window == call.Window && before.Accepted && call.Accepted && before.Body != call.Body {
+			r.violate("(a) window %d: %s, before %s", call.Window, call.Body, before.Body)
+		}
+		if before.Token == call.Token && before.Holder != call.Holder {
+			r.violate("(b) token %d: %s, before %s", call.Token, call.Holder, before.Holder)
+		}
+		if before.Token > call.Token {
+			r.violate("(c) token %d of %s after %d of %s", call.Token, call.Holder, before.Token, before.Holder)
+		}
+		if before.Holder != call.Holder {
+			between = true
+		} else if between && call.At.Sub(before.At) < r.Reentry {
+			r.violate("(d) %s again after %s", call.Holder, call.At.Sub(before.At))
+		}
+	}
+	r.Calls = append(r.Calls, call)
+}
+
 // API is the stand-in. It is an http.Handler, and safe for concurrent use.
 type API struct {
-	reentry time.Duration
-
-	mu         sync.Mutex
-	fault      Fault
-	blocked    map[string]bool // holders that are cut off
-	calls      []Call
-	violations []string
+	mu      sync.Mutex
+	fault   Fault
+	blocked map[string]bool // holders that are cut off
+	rules   Rules
 }
 
 // New returns an API whose callers may not follow each other in the order A, B, A within a time.
-func New(reentry time.Duration) *API { return &API{reentry: reentry, blocked: make(map[string]bool)} }
+func New(reentry time.Duration) *API {
+	return &API{rules: Rules{Reentry: reentry}, blocked: make(map[string]bool)}
+}
 
 // SetFault sets the fault.
 func (a *API) SetFault(f Fault) {
@@ -71,7 +105,7 @@
 func (a *API) Calls() []Call {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append([]Call(nil), a.calls...)
+	return append([]Call(nil), a.rules.Calls...)
 }
 
 // Accepted returns the counts of each window that was accepted.
@@ -79,7 +113,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	windows := make(map[int64]map[string]int)
-	for _, c := range a.calls {
+	for _, c := range a.rules.Calls {
 		if c.Accepted {
 			windows[c.Window] = c.Counts
 		}
@@ -91,7 +125,7 @@
 func (a *API) Violations() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append([]string(nil), a.violations...)
+	return append([]string(nil), a.rules.Violations...)
 }
 
 // ServeHTTP handles one call.
@@ -132,39 +166,12 @@
 	}
 	token, err := strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64)
 	if err != nil || token <= 0 {
-		a.violate("token %q", r.Header.Get("X-Fencing-Token"))
+		a.rules.violate("token %q", r.Header.Get("X-Fencing-Token"))
 	}
 	if err := json.Unmarshal(body, &report); err != nil || r.Method != http.MethodPost || r.URL.Path != "/usage" || report.Counts == nil {
-		a.violate("call %s %s %q", r.Method, r.URL.Path, body)
+		a.rules.violate("call %s %s %q", r.Method, r.URL.Path, body)
 	}
 	call.Token, call.Window, call.Counts = token, report.Window, report.Counts
-	a.check(call)
-	a.calls = append(a.calls, call)
+	a.rules.Check(call)
 	return a.fault
 }
-
-func (a *API) violate(format string, args ...any) {
-	a.violations = append(a.violations, fmt.Sprintf(format, args...))
-}
-
-// check checks a call against those before it. The caller holds the lock.
-func (a *API) check(call Call) {
-	between := false // whether another holder has acted since the call's holder did
-	for i := len(a.calls) - 1; i >= 0; i-- {
-		before := a.calls[i]
-		if before.Window == call.Window && before.Accepted && call.Accepted && before.Body != call.Body {
-			a.violate("(a) window %d: %s, before %s", call.Window, call.Body, before.Body)
-		}
-		if before.Token == call.Token && before.Holder != call.Holder {
-			a.violate("(b) token %d: %s, before %s", call.Token, call.Holder, before.Holder)
-		}
-		if before.Token > call.Token {
-			a.violate("(c) token %d of %s after %d of %s", call.Token, call.Holder, before.Token, before.Holder)
-		}
-		if before.Holder != call.Holder {
-			between = true
-		} else if between && call.At.Sub(before.At) < a.reentry {
-			a.violate("(d) %s again after %s", call.Holder, call.At.Sub(before.At))
-		}
-	}
-}
