Usage reports: a holder tells the next gateway its counts, those before in the order take first

Cause: the new test of failures in the model lost all counts of a killed holder (600 of 750): it told none to the gateway that follows, and a gateway late in the order took the lease in the moment of its end.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -180,8 +180,8 @@
 	return l.known && !l.current() && l.row.Era < l.era && l.Unexpired(now)
 }
 
-// MayTake reports whether this gateway may take the lease, and otherwise when to read the row again. Only the store's own
-// answer says whether the lease of another one has ended.
+// MayTake reports whether this gateway may take the lease, and from when on it may. If that is later, the row has to be
+// read again then: only the store's own answer says whether the lease of another one has ended.
 func (l *Lease) MayTake(now time.Duration) (bool, time.Duration) {
 	switch {
 	case !l.known:
--- /dev/null
+++ b/internal/usage/failures_test.go
@@ -0,0 +1,148 @@
+package usage
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// current returns the node that holds the lease; nil if none does.
+func (w *world) current() *node {
+	for _, n := range w.nodes {
+		if _, held := n.reporter.Held(w.steady(n)); held && n.runs {
+			return n
+		}
+	}
+	return nil
+}
+
+// untilFixed lets time pass until a node has fixed a further window.
+func (w *world) untilFixed() {
+	for before := w.kinds(Fixed); w.kinds(Fixed) == before; {
+		w.runFor(modelStep)
+	}
+}
+
+// late returns the windows that ended in a time and were not accepted before they were overdue.
+func (w *world) late(from, to time.Duration) []int64 {
+	accepted := make(map[int64]time.Duration)
+	for _, c := range w.rules.Calls {
+		if at := c.At.Sub(time.Unix(0, 0)); c.Accepted && (accepted[c.Window] == 0 || at < accepted[c.Window]) {
+			accepted[c.Window] = at
+		}
+	}
+	var late []int64
+	for k := int64((modelStart + from) / modelWindow); ; k++ {
+		end := time.Duration(k+1)*modelWindow - modelStart
+		if end > to {
+			return late
+		}
+		if at := accepted[k]; end > from && (at == 0 || at > end+modelLate) {
+			late = append(late, k)
+		}
+	}
+}
+
+// Guards against reports that come late or never after a failure of the holder or around it: the next gateway has to take
+// over in time, and Rule ONE holds.
+func TestReportsAfterFailures(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(w *world, holder *node)
+		late int     // windows that may be late
+		off  float64 // share by which counts may differ; 0 for modelOff
+	}{
+		{"killed before the fixing write", func(w *world, holder *node) { w.runFor(modelWindow - 600*time.Millisecond); holder.runs = false }, 0, 0},
+		{"killed between the write and the call", func(w *world, holder *node) {
+			w.atFix = func(n *node) { n.runs = false }
+			w.runFor(modelWindow)
+		}, 0, 0},
+		{"killed after the call", func(w *world, holder *node) { w.runFor(time.Second); holder.runs = false }, 0, 0},
+		{"frozen past the lease", func(w *world, holder *node) { holder.frozenUntil = w.now + 14*time.Second }, 0, 0},
+		{"frozen at the write", func(w *world, _ *node) {
+			w.atFix = func(n *node) { n.frozenUntil = w.now + 14*time.Second }
+		}, 0, 0},
+		{"cut off from the store", func(w *world, holder *node) { holder.noStore = true }, 0, 0},
+		{"cut off from the provider", func(w *world, holder *node) { holder.noProvider = true }, 0, 0},
+		{"cut off from its peers", func(w *world, holder *node) { holder.noPeers = true }, 0, 0.2}, // nobody hears its counts
+		{"stopped", func(w *world, holder *node) { holder.reporter.Stop() }, 0, 0},
+		{"store down for five seconds", func(w *world, _ *node) { w.setStore(true); w.at(5*time.Second, func() { w.setStore(false) }) }, 0, 0},
+		{"store restored", func(w *world, _ *node) {
+			w.copyRow, w.copyVersion, w.copyCounter = w.row, w.version, w.counter
+			w.runFor(2 * modelWindow)
+			w.restore()
+		}, 0, 0},
+		{"store restored and holder killed", func(w *world, holder *node) {
+			w.copyRow, w.copyVersion, w.copyCounter = w.row, w.version, w.counter
+			w.runFor(2 * modelWindow)
+			w.restore()
+			for _, n := range w.nodes {
+				n.reporter.SawEra(w.steady(n), w.era)
+			}
+			holder.runs = false
+		}, 1, 0},
+		{"provider without answers", func(w *world, _ *node) {
+			w.callFate = func() fate { return fate{performed: true, after: 5 * time.Millisecond} }
+			w.at(6*time.Second, func() { w.callFate = func() fate { return soundFate } })
+		}, 0, 0},
+		{"provider busy", func(w *world, _ *node) {
+			w.providerBusy = true
+			w.at(6*time.Second, func() { w.providerBusy = false })
+		}, 0, 0},
+		{"write without an answer", func(w *world, _ *node) {
+			lost := true
+			w.storeFate = func() fate {
+				f := fate{performed: lost, after: 5 * time.Millisecond}
+				if !lost {
+					return soundFate
+				}
+				lost = false
+				return f
+			}
+		}, 0, 0},
+		{"write performed late", func(w *world, _ *node) {
+			first := true
+			w.storeFate = func() fate {
+				if !first {
+					return soundFate
+				}
+				first = false
+				return fate{performed: true, after: 2 * time.Second}
+			}
+		}, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(5)
+			w.runFor(25 * time.Second)
+			w.untilFixed()
+			holder := w.current()
+			assert.Assert(t, holder != nil)
+			failed := w.now
+			c.fail(w, holder)
+			w.runFor(8 * modelWindow)
+			late := w.late(failed-2*time.Second, w.now-modelLate)
+			assert.Assert(t, len(late) <= c.late, "%d windows late: %v", len(late), late)
+			assert.DeepEqual(t, w.rules.Violations, []string(nil))
+			for _, call := range w.rules.Calls {
+				want := float64(w.counted[call.Window]["hule930"])
+				var got report
+				assert.NilError(t, json.Unmarshal([]byte(call.Body), &got))
+				assert.Assert(t, math.Abs(float64(got.Counts["hule930"])-want) <= cmp.Or(c.off, modelOff)*want, "window %d: %d of %g", call.Window, got.Counts["hule930"], want)
+			}
+		})
+	}
+}
+
+// modelOff is the share by which a report may differ from the true counts.
+const modelOff = 0.05
+
+// setStore sets whether no gateway reaches the store.
+func (w *world) setStore(down bool) {
+	for _, n := range w.nodes {
+		n.noStore = down
+	}
+}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -179,6 +179,9 @@
 		return
 	}
 	before := r.heard
+	if n.Token != before.Token && n.Holder != r.settings.Address {
+		r.readAt = 0 // the row that was read is out of date
+	}
 	r.heard, r.heardAt, r.knowsNews = n, now, true
 	if n.Token>>lease.EraShift >= r.lease.Era() {
 		r.eraSeenAt = 0
@@ -200,15 +203,9 @@
 	return !r.storeBusy && !r.callBusy && !mayHold
 }
 
-// order returns this process and the peers that run, in the order in which they take the lease from the holder that was
-// heard of last.
+// order returns the processes that run, in the order in which they take the lease from the holder that was heard of last.
 func (r *Reporter) order(alive []netip.Addr) []netip.Addr {
-	list := []netip.Addr{r.settings.Address}
-	for _, peer := range alive {
-		if peer != r.heard.Holder && peer != r.settings.Address {
-			list = append(list, peer)
-		}
-	}
+	list := slices.DeleteFunc(append([]netip.Addr{r.settings.Address}, alive...), func(a netip.Addr) bool { return a == r.heard.Holder })
 	score := func(a netip.Addr) uint64 {
 		bytes := a.As4()
 		return policy.Mix64(policy.Mix64(uint64(binary.BigEndian.Uint32(bytes[:]))) ^ uint64(r.heard.Token))
@@ -232,8 +229,9 @@
 	if r.heard.Holder.IsValid() {
 		wanted = 1
 	}
-	for _, peer := range r.order(alive)[:min(wanted, 1+len(alive))] {
-		if peer != r.settings.Address && peer != r.heard.Holder {
+	next := r.order(alive)
+	for _, peer := range next[:min(wanted, len(next))] {
+		if peer != r.settings.Address {
 			targets = append(targets, peer)
 		}
 	}
--- a/internal/usage/storecalls.go
+++ b/internal/usage/storecalls.go
@@ -41,7 +41,7 @@
 		return ReadRow, lease.Row{}, 0
 	case r.stopping:
 	case r.lease.Known() && r.readAt > 0:
-		return r.nextTake(now)
+		return r.nextTake(now, s.Alive)
 	case now >= r.lookAt(s.Alive):
 		r.storeBusy = true
 		return ReadRow, lease.Row{}, 0
@@ -76,9 +76,12 @@
 }
 
 // nextTake takes the lease by the row that was just read, or waits.
-func (r *Reporter) nextTake(now time.Duration) (StoreCall, lease.Row, int64) {
+func (r *Reporter) nextTake(now time.Duration, alive []netip.Addr) (StoreCall, lease.Row, int64) {
 	row, exists := r.lease.Row()
 	may, at := r.lease.MayTake(now)
+	if may && now < at+r.rankDelay(alive) {
+		return NoCall, lease.Row{}, 0 // those before this one in the order may take it first
+	}
 	if may {
 		return r.take(now, row, exists)
 	}
