--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -44,6 +44,9 @@
 	busyTime = time.Second
 	// pingInterval is the time between two messages to the seeds while states are relayed.
 	pingInterval = 2 * time.Second
+	// leaseTime is how long a change of the lease's state is in all messages, and leaseInterval the interval, in messages, at
+	// which it is in them otherwise.
+	leaseTime, leaseInterval = time.Second, 8
 	// introductionInterval is the least time between two lists of all known peers for one peer.
 	introductionInterval = time.Second
 )
@@ -133,6 +136,8 @@
 	members    *Members
 	sums       map[uint32]*sumState // by data centre
 	introduced map[netip.Addr]domain.Instant
+	leaseTold  usage.News            // last state of the lease that was told
+	leaseDue   time.Time             // until then it is in all messages
 	wholeDue   bool                  // whether a peer needs a whole digest
 	rowBlocked bool                  // whether a peer of the data centre has told of more requests that no endpoint took
 	peerCounts map[netip.Addr]uint32 // of such requests, as peers of the data centre told last
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -231,7 +231,7 @@
 func (e *Exchange) message() *pb.Digest {
 	d := &pb.Digest{Incarnation: e.incarnation, Sequence: e.sequence.Add(1), Format: currentFormat, DataCentre: e.dataCentre}
 	encodeRegistryConfirmation(d, e.handler.RegistryConfirmation())
-	if n, ok := e.handler.LeaseNews(); ok {
+	if n, ok := e.handler.LeaseNews(); ok && e.tellsLease(n, d.Sequence) {
 		d.Lease = encodeLease(n)
 	}
 	return d
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -36,6 +36,17 @@
 	return nil
 }
 
+// tellsLease reports whether the state of the lease is in a message.
+func (e *Exchange) tellsLease(n usage.News, sequence uint64) bool {
+	now := e.clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n != e.leaseTold {
+		e.leaseTold, e.leaseDue = n, now.Add(leaseTime)
+	}
+	return now.Before(e.leaseDue) || sequence%leaseInterval == 0
+}
+
 // encodeLease encodes the state of the lease.
 func encodeLease(n usage.News) *pb.Lease {
 	l := &pb.Lease{Token: uint64(n.Token), Window: uint64(n.Window)}
--- a/internal/usage/counts.go
+++ b/internal/usage/counts.go
@@ -12,8 +12,9 @@
 const (
 	// changedInterval is the least time between two messages to a peer on a window that goes on.
 	changedInterval = time.Second
-	// endedInterval is the same once the window has ended, until the message is acknowledged.
-	endedInterval = 300 * time.Millisecond
+	// endedInterval is the same once the window has ended. It doubles, up to maxEndedInterval, until the message is
+	// acknowledged: processes of versions without usage reports never do that.
+	endedInterval, maxEndedInterval = 300 * time.Millisecond, 2400 * time.Millisecond
 	// maxSources bounds the processes whose counts of a window are kept.
 	maxSources = 1024
 	// maxAccounts bounds the accounts in a window of one process: a message has 10 bytes at most for each, and has to fit
@@ -54,7 +55,8 @@
 type told struct {
 	at    time.Duration // when it was told last
 	sent  bool
-	acked uint64 // highest version that it has acknowledged
+	ended time.Duration // until the next message after the window's end
+	acked uint64        // highest version that it has acknowledged
 }
 
 // ownWindow is the requests of this process in a window.
@@ -166,11 +168,14 @@
 			}
 			interval := changedInterval
 			if w.ended {
-				interval = endedInterval
+				interval = t.ended
 			}
 			if t.acked >= w.version || t.sent && now-t.at < interval {
 				continue
 			}
+			if w.ended {
+				t.ended = min(max(2*t.ended, endedInterval), maxEndedInterval)
+			}
 			t.at, t.sent = now, true
 			// The counts go on while the message is encoded.
 			list = append(list, Outgoing{To: to, Message: Message{Start: c.start, Window: k, Version: w.version, Ended: w.ended, Counts: maps.Clone(w.counts)}})
--- a/internal/usage/failures_test.go
+++ b/internal/usage/failures_test.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// late returns the windows that ended in a time and were not accepted before they were overdue.
-func (w *world) late(from, to time.Duration) []int64 {
+// lateWindows returns the windows that ended in a time and were not accepted before they were overdue.
+func (w *world) lateWindows(from, to time.Duration) []int64 {
 	accepted := make(map[int64]time.Duration)
 	for _, c := range w.rules.Calls {
 		if at := c.At.Sub(time.Unix(0, 0)); c.Accepted && (accepted[c.Window] == 0 || at < accepted[c.Window]) {
@@ -57,7 +57,7 @@
 		off  float64 // share by which counts may differ; 0 for modelOff
 	}{
 		{"killed before the fixing write", func(w *world, holder *node) { w.runFor(modelWindow - 600*time.Millisecond); holder.runs = false }, 0, 0},
-		{"killed between the write and the call", func(w *world, holder *node) {
+		{"killed between the write and the call", func(w *world, _ *node) {
 			w.atFix = func(n *node) { n.runs = false }
 			w.runFor(modelWindow)
 		}, 0, 0},
@@ -66,10 +66,10 @@
 		{"frozen at the write", func(w *world, _ *node) {
 			w.atFix = func(n *node) { n.frozenUntil = w.now + 14*time.Second }
 		}, 0, 0},
-		{"cut off from the store", func(w *world, holder *node) { holder.noStore = true }, 0, 0},
-		{"cut off from the provider", func(w *world, holder *node) { holder.noProvider = true }, 0, 0},
-		{"cut off from its peers", func(w *world, holder *node) { holder.noPeers = true }, 0, 0.2}, // nobody hears its counts
-		{"stopped", func(w *world, holder *node) { holder.reporter.Stop() }, 0, 0},
+		{"cut off from the store", func(_ *world, holder *node) { holder.noStore = true }, 0, 0},
+		{"cut off from the provider", func(_ *world, holder *node) { holder.noProvider = true }, 0, 0},
+		{"cut off from its peers", func(_ *world, holder *node) { holder.noPeers = true }, 0, 0.2}, // nobody hears its counts
+		{"stopped", func(_ *world, holder *node) { holder.reporter.Stop() }, 0, 0},
 		{"store down for five seconds", func(w *world, _ *node) { w.setStore(true); w.at(5*time.Second, func() { w.setStore(false) }) }, 0, 0},
 		{"store restored", func(w *world, _ *node) {
 			w.copyRow, w.copyVersion, w.copyCounter = w.row, w.version, w.counter
@@ -116,7 +116,7 @@
 		}, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(5)
+			w := newWorld(5, modelLate)
 			w.runFor(25 * time.Second)
 			w.untilFixed()
 			holder := w.current()
@@ -124,7 +124,7 @@
 			failed := w.now
 			c.fail(w, holder)
 			w.runFor(8 * modelWindow)
-			late := w.late(failed-2*time.Second, w.now-modelLate)
+			late := w.lateWindows(failed-2*time.Second, w.now-modelLate)
 			assert.Assert(t, len(late) <= c.late, "%d windows late: %v", len(late), late)
 			assert.DeepEqual(t, w.rules.Violations, []string(nil))
 			for _, call := range w.rules.Calls {
@@ -146,3 +146,65 @@
 		n.noStore = down
 	}
 }
+
+// Guards against a former holder that follows another one too soon: A releases the lease, B takes it, reports and releases
+// it, and A, which has started again, must wait.
+func TestHoldersDoNotAlternate(t *testing.T) {
+	w := newWorld(2, modelLate)
+	w.runFor(25 * time.Second)
+	w.untilFixed()
+	w.providerBusy = true // so that each holder has something to send
+	w.untilFixed()
+	w.runFor(time.Second)
+	first := w.current()
+	first.reporter.Stop()
+	for w.current() == nil || w.current() == first {
+		w.runFor(modelStep)
+	}
+	second := w.current()
+	w.start(first)
+	w.runFor(500 * time.Millisecond)
+	second.reporter.Stop()
+	for w.current() != first {
+		w.runFor(modelStep)
+	}
+	w.runFor(3 * modelWindow)
+	assert.DeepEqual(t, w.rules.Violations, []string(nil))
+}
+
+// Guards against a second body of a window that was sent before the store came back from a copy without it: the gateway
+// that follows knows other counts than the one that sent it.
+func TestWindowSentBeforeRestoreIsNotFixedAgain(t *testing.T) {
+	w := newWorld(2, 3*modelLate)
+	w.runFor(25 * time.Second)
+	w.untilFixed()
+	holder := w.current()
+	w.runFor(time.Second)
+	w.copyRow, w.copyVersion, w.copyCounter = w.row, w.version, w.counter
+	w.loseMessage = func() bool { return true }
+	w.count(holder, "fida11", 50)
+	w.untilFixed()
+	w.runFor(200 * time.Millisecond) // too soon for the other one to have read the row
+	sent := w.rules.Calls[len(w.rules.Calls)-1]
+	holder.runs = false
+	w.loseMessage = func() bool { return false }
+	w.restore()
+	w.runFor(8 * modelWindow)
+	assert.Equal(t, w.kinds(Taken), 2)
+	for _, c := range w.rules.Calls {
+		assert.Assert(t, c.Window != sent.Window || c.Body == sent.Body, "%s, before %s", c.Body, sent.Body)
+	}
+	assert.DeepEqual(t, w.rules.Violations, []string(nil))
+}
+
+// Guards against a holder that acts on when its lease has ended: it stood still with a report to send, hears no peer, and
+// another gateway has reported meanwhile.
+func TestThawedHolderSendsNothing(t *testing.T) {
+	w := newWorld(3, 3*modelLate)
+	w.runFor(25 * time.Second)
+	w.atFix = func(n *node) { n.frozenUntil, n.noPeers = w.now+15*time.Second, true }
+	w.untilFixed()
+	w.runFor(8 * modelWindow)
+	assert.Equal(t, w.kinds(Taken), 2)
+	assert.DeepEqual(t, w.rules.Violations, []string(nil))
+}
--- a/internal/usage/model_test.go
+++ b/internal/usage/model_test.go
@@ -59,6 +59,7 @@
 // world is gateways with a store and a provider.
 type world struct {
 	now      time.Duration // since the start
+	late     time.Duration // after which reports are overdue
 	nodes    []*node
 	events   []event
 	rules    cloudapi.Rules
@@ -80,9 +81,9 @@
 	atFix         func(*node) // called once, when the next write is performed
 }
 
-func newWorld(nodes int) *world {
+func newWorld(nodes int, late time.Duration) *world {
 	w := &world{
-		era: 1, rules: cloudapi.Rules{Reentry: modelReentry}, counted: make(map[int64]map[string]uint64),
+		era: 1, late: late, rules: cloudapi.Rules{Reentry: modelReentry}, counted: make(map[int64]map[string]uint64),
 		storeFate: func() fate { return soundFate }, callFate: func() fate { return soundFate }, loseMessage: func() bool { return false },
 	}
 	for i := range nodes {
@@ -97,7 +98,7 @@
 	n.life++
 	n.runs, n.frozenUntil, n.deferred = true, 0, nil
 	n.reporter = New(Settings{
-		Holder: n.name, Start: uint64(n.life)*100 + 1, Address: n.address, Window: modelWindow, Late: modelLate, Reentry: modelReentry, CallsPerSecond: 5,
+		Holder: n.name, Start: uint64(n.life)*100 + 1, Address: n.address, Window: modelWindow, Late: w.late, Reentry: modelReentry, CallsPerSecond: 5,
 	}, w.steady(n), w.wall(n))
 }
 
@@ -353,7 +354,7 @@
 // Guards against calls that cost without need, and against wrong counts: without faults each window is reported in time
 // with all counts, by one holder, with one write a window and no read.
 func TestWindowsAreReportedWithoutFaults(t *testing.T) {
-	w := newWorld(5)
+	w := newWorld(5, modelLate)
 	w.runFor(20 * time.Second)
 	reads, writes, delivered := w.reads, w.writes, w.kinds(Delivered)
 	w.runFor(10 * modelWindow)
@@ -447,7 +448,7 @@
 func TestRuleOneHolds(t *testing.T) {
 	accepted, restores := 0, int64(0)
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.IntRange(2, 4).Draw(t, "nodes"))
+		w := newWorld(rapid.IntRange(2, 4).Draw(t, "nodes"), modelLate*time.Duration(rapid.IntRange(1, 3).Draw(t, "late")))
 		faults := false
 		w.storeFate = func() fate {
 			if !faults {
