Usage reports: a write of the era before can't bring back an old token

The store came back from a copy and gave out versions again. A former holder that hadn't read the row for 16 s renewed it by the version of the era before and replaced the row of the new era. All gateways ended, and the next one took a token below the last one (Rule ONE c). Change: a gateway whose lease has ended, or that has read the row over 3 s ago, reads it again before it writes. Tokens follow the store's clock, so that a lost one is never reached again. Windows that ended before a row of another era was first read are not fixed, also if the era was seen before. TestRowReplacedByWriteOfEarlierEra fails without the change.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -17,6 +17,13 @@
 // EraShift is the number of bits of a token below the era of the store. Within an era the tokens rise one by one.
 const EraShift = 32
 
+// tokenStep is the time on the store's clock in which the tokens of an era rise by one at least. They last for six years.
+const tokenStep = 100 * time.Millisecond
+
+// freshTime is how long after a reading of the row this gateway writes by it, unless its lease lasts. The store may have
+// come back from a copy since, and given out the row's version again.
+const freshTime = 3 * time.Second
+
 // maxFormer bounds the former holders in a row.
 const maxFormer = 16
 
@@ -160,6 +167,16 @@
 	return l.known && l.current() && !l.row.Released && l.row.Holder == l.settings.Holder && l.row.Start == l.settings.Start
 }
 
+// Fresh reports whether the row may be written by what is known of it. Otherwise it has to be read again.
+func (l *Lease) Fresh(now time.Duration) bool {
+	return l.known && (l.Unexpired(now) || now-l.answer.ReceivedAt < freshTime)
+}
+
+// WaitsFrom returns when a row that another era has left, or its absence, was first read; false if the row is of this era.
+func (l *Lease) WaitsFrom() (time.Duration, bool) {
+	return l.waitFrom, l.known && l.waits && !l.current()
+}
+
 // Current reports whether the row is known and of the store's present era.
 func (l *Lease) Current() bool { return l.known && l.current() }
 
@@ -209,9 +226,10 @@
 }
 
 // Take returns the row by which this gateway takes the lease, and the version that the row in the store must have. Its
-// token is above that of the row and above another one that was heard of.
+// token is above that of the row and above another one that was heard of. It also follows the store's clock: after a return
+// from a copy versions are given out again, so that a write of the era before can replace the row and the token in it.
 func (l *Lease) Take(now time.Duration, heard int64, state []byte) (Row, int64) {
-	counter := int64(0)
+	counter := min(l.answer.Reading.Millis/tokenStep.Milliseconds(), 1<<(EraShift-1))
 	for _, token := range []int64{l.row.Token, l.mine.Token, heard} {
 		counter = max(counter, token&(1<<EraShift-1))
 	}
--- a/internal/usage/failures_test.go
+++ b/internal/usage/failures_test.go
@@ -208,3 +208,32 @@
 	assert.Equal(t, w.kinds(Taken), 2)
 	assert.DeepEqual(t, w.rules.Violations, []string(nil))
 }
+
+// Guards against a token that is lower than one that was seen, and a window that is fixed twice, after a former holder's
+// write of the era before has replaced the row: the store has given out the version of its condition again.
+func TestRowReplacedByWriteOfEarlierEra(t *testing.T) {
+	w := newWorld(3, 3*modelLate)
+	w.runFor(25 * time.Second)
+	w.untilFixed()
+	w.copyRow, w.copyVersion, w.copyCounter = w.row, w.version, w.counter
+	for range 2 {
+		w.runFor(time.Second)
+		w.current().runs = false
+		w.runFor(2 * modelWindow)
+	}
+	before := w.row
+	for _, n := range w.nodes[1:] {
+		w.start(n)
+	}
+	w.restore()
+	w.runFor(5 * modelWindow)
+	w.version++
+	w.counter++
+	w.row = before
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	w.runFor(5 * modelWindow)
+	assert.DeepEqual(t, w.rules.Violations, []string(nil))
+	assert.Assert(t, w.rules.Calls[len(w.rules.Calls)-1].At.Sub(time.Unix(0, 0)) > w.now-2*modelWindow, "no report since")
+}
--- a/internal/usage/storecalls.go
+++ b/internal/usage/storecalls.go
@@ -32,6 +32,9 @@
 		return NoCall, lease.Row{}, 0
 	}
 	switch {
+	case r.lease.Mine() && !r.lease.Fresh(now), r.readAt > 0 && r.lease.Known() && !r.lease.Fresh(now):
+		r.storeBusy = true
+		return ReadRow, lease.Row{}, 0
 	case r.lease.Mine():
 		if next, yielded := r.nextLedger(now, s); next != nil {
 			return r.write(now, next, yielded)
@@ -246,6 +249,10 @@
 		return
 	}
 	r.readAt = answer.ReceivedAt
+	if from, ok := r.lease.WaitsFrom(); ok {
+		// A row of this era may have been replaced since it was first seen.
+		r.firstWindow = max(r.firstWindow, r.windowAt(from))
+	}
 	if r.lease.Mine() {
 		l, err := parseLedger(row.State)
 		if err != nil {
