--- a/internal/usage/storecalls.go
+++ b/internal/usage/storecalls.go
@@ -157,7 +157,7 @@
 		return nil, false
 	case r.stopping:
 		return &next, true
-	case r.mayYield(now) && r.unanswered > 0 && now-r.unanswered >= unansweredTime:
+	case len(s.Alive) > 0 && r.mayYield(now) && r.unanswered > 0 && now-r.unanswered >= unansweredTime:
 		next.Yielded = r.windowAt(now)
 		return &next, true
 	}
