Usage reports: rows-tx in the store's own format

Cause: the body of rows-tx and its answers were assumed. The store takes a body with other fields for an empty transaction and answers 200 without writing, so that each gateway would have believed that it holds the lease (Rule ONE).

The stand-in refuses unknown fields and transactions without put and remove with 400, gives all changes of a transaction one version, and answers 412 with the rows of the conditions.

--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -119,15 +119,15 @@
 func (s *Store) write(row Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.version++
 	s.put(row)
 }
 
 // now returns the reading of the steady clock in milliseconds.
 func (s *Store) now() int64 { return (clockStart + time.Since(s.started)).Milliseconds() }
 
-// put changes a row. The caller holds the lock.
+// put changes a row at the current version, which the caller has raised. The caller holds the lock.
 func (s *Store) put(row Row) {
-	s.version++
 	row.Version = s.version
 	id := row.Table + "\x00" + row.Key
 	if row.Removed {
--- a/internal/standin/metastore/write.go
+++ b/internal/standin/metastore/write.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // WriteFault is a fault of one write.
@@ -21,15 +24,54 @@
 // lateWriteDelay is the delay of a LateWrite.
 const lateWriteDelay = 3 * time.Second
 
-// transaction is a request for writes, which are performed together if the condition of each holds.
+// transaction is a request for changes of rows of one part, which are performed together if all conditions hold.
 type transaction struct {
-	Writes []struct {
-		Table      string `json:"table"`
-		Part       string `json:"part"`
-		Key        string `json:"key"`
-		Value      []byte `json:"value"`
-		IfRevision int64  `json:"if_revision"`
-	} `json:"writes"`
+	IfRevision []struct {
+		rowID
+		Version int64 `json:"ver"`
+	} `json:"if_revision"`
+	Put []struct {
+		rowID
+		Value []byte `json:"value"`
+	} `json:"put"`
+	Remove []rowID `json:"remove"`
+}
+
+type rowID struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"key"`
+}
+
+// id returns the row's key in Store.rows.
+func (r rowID) id() string { return r.Table + "\x00" + r.Key }
+
+// decodeTransaction decodes a request for changes. It is stricter than the platform's store, which performs nothing for
+// a body with other fields and answers 200.
+func decodeTransaction(body io.Reader) (transaction, error) {
+	var t transaction
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&t); err != nil {
+		return t, errors.Wrap(err, "decode transaction")
+	}
+	if len(t.Put)+len(t.Remove) == 0 {
+		return t, errors.New("transaction without put and remove")
+	}
+	var rows []rowID
+	for _, c := range t.IfRevision {
+		rows = append(rows, c.rowID)
+	}
+	for _, p := range t.Put {
+		rows = append(rows, p.rowID)
+	}
+	for _, r := range append(rows, t.Remove...) {
+		// The stand-in has no rows of other parts.
+		if r.Table == "" || r.Key == "" || r.Part != "" {
+			return t, errors.Newf("transaction with table=%q part=%q key=%q", r.Table, r.Part, r.Key)
+		}
+	}
+	return t, nil
 }
 
 // FailNextWrite sets the fault of the next write.
@@ -46,11 +88,11 @@
 	return s.rows[table+"\x00"+key].Value
 }
 
-// writeRows performs the writes of a transaction, or responds with 409 if a condition does not hold.
+// writeRows performs a transaction, or responds with 412 and the rows of its conditions if one does not hold.
 func (s *Store) writeRows(w http.ResponseWriter, r *http.Request) {
-	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	t, err := decodeTransaction(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
@@ -69,33 +111,46 @@
 		panic(http.ErrAbortHandler)
 	default:
 	}
-	p, ok := s.perform(t)
-	w.Header().Set(headerEra, strconv.FormatInt(p.era, 10))
+	answer, era, ok := s.perform(t)
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
+	w.Header().Set("Content-Type", "application/json")
 	if !ok {
-		w.WriteHeader(http.StatusConflict)
-		return
+		w.WriteHeader(http.StatusPreconditionFailed)
 	}
-	writePage(w, p.page)
+	// Fails only if the client has closed the connection.
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// eraPage is a page with the era of the store when it was made.
-type eraPage struct {
-	page
-	era int64
+// outcome is the answer to a transaction. Rows are the current ones of its conditions if one did not hold.
+type outcome struct {
+	Rows    []Row `json:"rows,omitempty"`
+	Version int64 `json:"ver"`
+	Now     int64 `json:"now_ms"`
 }
 
-// perform performs a transaction and reports whether its conditions held.
-func (s *Store) perform(t transaction) (eraPage, bool) {
+// perform performs a transaction, whose changes get one version, and returns the answer, the era and whether the
+// conditions held.
+func (s *Store) perform(t transaction) (outcome, int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ok := true
-	for _, write := range t.Writes {
-		ok = ok && s.rows[write.Table+"\x00"+write.Key].Version == write.IfRevision
-	}
-	if ok {
-		for _, write := range t.Writes {
-			s.put(Row{Table: write.Table, Part: write.Part, Key: write.Key, Value: write.Value})
+	var rows []Row
+	for _, c := range t.IfRevision {
+		row, exists := s.rows[c.id()]
+		if exists {
+			rows = append(rows, row)
 		}
+		ok = ok && row.Version == c.Version
+	}
+	if !ok {
+		return outcome{rows, s.version, s.now()}, s.era, false
+	}
+	s.version++
+	for _, p := range t.Put {
+		s.put(Row{Table: p.Table, Key: p.Key, Value: p.Value})
+	}
+	for _, r := range t.Remove {
+		s.put(Row{Table: r.Table, Key: r.Key, Removed: true})
 	}
-	return eraPage{page{Rows: []Row{}, Version: s.version, Now: s.now()}, s.era}, ok
+	return outcome{Version: s.version, Now: s.now()}, s.era, true
 }
