--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -93,6 +93,7 @@
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
 	extra      string // header lines added to each response
+	padding    int    // bytes added to the body of each plain response
 	crashPart  string // identifier of the prompt part that crashes the process; empty for none
 	// crashMoment is when crashPart crashes the process.
 	crashMoment CrashMoment
@@ -270,6 +271,13 @@
 	}
 }
 
+// SetPadding sets the number of bytes that are added to the body of each plain response.
+func (r *Replica) SetPadding(bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.padding = bytes
+}
+
 // Arrivals returns the requests for this replica so far, oldest first.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -476,7 +484,9 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\nwhole %s", id, signature, id)
 		return false
 	}
-	body := "whole " + id
+	r.mu.Lock()
+	body := "whole " + id + strings.Repeat("x", r.padding)
+	r.mu.Unlock()
 	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, signature, len(body), body)
 	if fault == ExtraResponse {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Length: 5\r\n\r\nagain", id, signature)
