--- /dev/null
+++ b/internal/memorylimit/budget.go
@@ -0,0 +1,233 @@
+package memorylimit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/domain"
+)
+
+// Share is a part of the bytes.
+type Share uint8
+
+// The shares.
+const (
+	Bodies Share = iota
+	Answers
+	shareCount
+)
+
+// phase is what happens to the bytes of a holder.
+type phase uint8
+
+const (
+	receiving phase = iota // they arrive
+	kept                   // all have arrived
+	sending                // they are written to a client
+)
+
+// Holder is a body or a buffered answer.
+type Holder struct {
+	Owner             any // the caller's own
+	share             Share
+	urgent            bool
+	phase             phase
+	began, progressed domain.Instant // began is the begin of the transfer that goes on
+	held              int64
+	moved             int64 // bytes of the transfer that goes on
+	wants             int64 // bytes for which it waits
+	shed              bool
+}
+
+// Held returns the bytes that a holder has.
+func (h *Holder) Held() int64 { return h.held }
+
+// Shed reports whether the holder has to give its bytes back.
+func (h *Holder) Shed() bool { return h.shed }
+
+// lag returns how long the transfer of a holder has made no progress, or how far it is behind the usual rate.
+func (h *Holder) lag(now domain.Instant) time.Duration {
+	due := time.Duration(float64(h.moved) / usualRate * float64(time.Second))
+	return max(now.Sub(h.progressed), now.Sub(h.began)-due)
+}
+
+// Outcome is what became of a wish for bytes.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Granted Outcome = iota
+	Waiting         // until holders that are shed have given their bytes back
+	Refused
+)
+
+// Changes are holders whose state changed by a call: Shed have to give their bytes back, Granted got the bytes for
+// which they waited, and Refused won't get them.
+type Changes struct{ Shed, Granted, Refused []*Holder }
+
+// Budget divides bytes among holders. It is not safe for concurrent use.
+type Budget struct {
+	limits  Limits
+	used    [shareCount]int64
+	freeing int64 // held by holders that are shed
+	wanted  int64 // by all that wait
+	holders map[*Holder]struct{}
+	waiting []*Holder // in the order of their wishes
+}
+
+// NewBudget returns a budget that nobody uses.
+func NewBudget(l Limits) *Budget {
+	return &Budget{limits: l, holders: make(map[*Holder]struct{})}
+}
+
+// SetLimits replaces the limits. Holders keep what they have.
+func (b *Budget) SetLimits(l Limits) { b.limits = l }
+
+// Used returns the bytes that holders have.
+func (b *Budget) Used(s Share) int64 { return b.used[s] }
+
+// Open adds a holder without bytes, whose bytes begin to arrive.
+func (b *Budget) Open(now domain.Instant, s Share, urgent bool) *Holder {
+	h := &Holder{share: s, urgent: urgent, began: now, progressed: now}
+	b.holders[h] = struct{}{}
+	return h
+}
+
+// Take asks for bytes, as the transfer of a holder has made progress. While it waits, the holder may not ask again.
+func (b *Budget) Take(now domain.Instant, h *Holder, n int64) (Outcome, Changes) {
+	var changes Changes
+	if h.shed {
+		return Refused, changes
+	}
+	h.moved, h.progressed = h.held, now
+	ahead := b.wanted
+	if h.urgent {
+		ahead = 0
+	}
+	if b.fits(h, n+ahead) {
+		b.grant(h, n)
+		return Granted, changes
+	}
+	for b.freeing < n+b.wanted {
+		v := b.victim(now, h, n)
+		if v == nil {
+			return Refused, changes
+		}
+		v.shed = true
+		b.freeing += v.held
+		changes.Shed = append(changes.Shed, v)
+		b.stopWaiting(v)
+	}
+	h.wants = n
+	b.wanted += n
+	b.waiting = append(b.waiting, h)
+	return Waiting, changes
+}
+
+// Progress records that n bytes of a transfer have moved.
+func (b *Budget) Progress(now domain.Instant, h *Holder, n int64) {
+	h.moved += n
+	h.progressed = now
+}
+
+// Complete records that all bytes of a holder have arrived. It returns false if the holder was shed before.
+func (b *Budget) Complete(h *Holder) bool {
+	h.phase = kept
+	return !h.shed
+}
+
+// Send records that the bytes of a holder begin to be written to a client.
+func (b *Budget) Send(now domain.Instant, h *Holder) {
+	h.phase, h.began, h.progressed, h.moved = sending, now, now, 0
+}
+
+// Return gives bytes back.
+func (b *Budget) Return(h *Holder, n int64) Changes {
+	b.used[h.share] -= n
+	h.held -= n
+	if h.shed {
+		b.freeing -= n
+	}
+	return b.serveWaiting()
+}
+
+// Close gives all bytes of a holder back and removes it.
+func (b *Budget) Close(h *Holder) Changes {
+	delete(b.holders, h)
+	b.stopWaiting(h)
+	return b.Return(h, h.held)
+}
+
+// Withdraw ends the wait of a holder. It returns false if it doesn't wait.
+func (b *Budget) Withdraw(h *Holder) bool {
+	waits := h.wants > 0
+	b.stopWaiting(h)
+	return waits
+}
+
+func (b *Budget) stopWaiting(h *Holder) {
+	if h.wants == 0 {
+		return
+	}
+	b.wanted -= h.wants
+	h.wants = 0
+	b.waiting = slices.DeleteFunc(b.waiting, func(other *Holder) bool { return other == h })
+}
+
+// serveWaiting grants wishes in their order. When no more bytes are to come, it refuses the others, so that none waits
+// for another one that waits.
+func (b *Budget) serveWaiting() Changes {
+	var changes Changes
+	for len(b.waiting) > 0 {
+		h := b.waiting[0]
+		n := h.wants
+		fits := b.fits(h, n)
+		if !fits && b.freeing > 0 {
+			break
+		}
+		b.stopWaiting(h)
+		if fits {
+			b.grant(h, n)
+			changes.Granted = append(changes.Granted, h)
+		} else {
+			changes.Refused = append(changes.Refused, h)
+		}
+	}
+	return changes
+}
+
+func (b *Budget) grant(h *Holder, n int64) {
+	h.held += n
+	b.used[h.share] += n
+}
+
+// total returns the bytes of all shares.
+func (b *Budget) total() int64 {
+	var sum int64
+	for _, used := range b.used {
+		sum += used
+	}
+	return sum
+}
+
+// reserved returns the part of the bytes that a holder may not use if it gets n more.
+func (b *Budget) reserved(h *Holder, n int64) int64 {
+	if h.urgent || h.held+n <= SmallBytes {
+		return 0
+	}
+	return b.limits.Reserved
+}
+
+// fitsShare reports whether n more bytes of a holder are within its own share.
+func (b *Budget) fitsShare(h *Holder, n int64) bool {
+	limit, reserved := b.limits.Answers, int64(0)
+	if h.share == Bodies {
+		limit, reserved = b.limits.Bodies, b.reserved(h, n)
+	}
+	return limit == 0 || b.used[h.share]+n <= limit-reserved
+}
+
+// fits reports whether a holder may have n more bytes.
+func (b *Budget) fits(h *Holder, n int64) bool {
+	return b.fitsShare(h, n) && (b.limits.Bytes == 0 || b.total()+n <= b.limits.Bytes-b.reserved(h, n))
+}
--- /dev/null
+++ b/internal/memorylimit/conns_test.go
@@ -0,0 +1,128 @@
+package memorylimit
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/domain"
+)
+
+var client = netip.MustParseAddr("127.0.0.1")
+
+// Guards against a request in progress that is closed for a new connection, and connections or heads beyond the limits.
+func TestConnsHoldTheirLimits(t *testing.T) {
+	const headLimit = mib
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewConns(ConnLimits{Conns: 8, Heads: headLimit})
+		var now domain.Instant
+		var open []*Conn
+		pick := func() *Conn {
+			if len(open) == 0 {
+				t.Skip("none is open")
+			}
+			return rapid.SampledFrom(open).Draw(t, "connection")
+		}
+		remove := func(c *Conn) {
+			table.Close(c)
+			for i := range open {
+				if open[i] == c {
+					open = append(open[:i], open[i+1:]...)
+					return
+				}
+			}
+			t.Fatal("the one to close is not open")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				var heads int64
+				for _, c := range open {
+					heads += c.head
+				}
+				assert.Assert(t, table.Len() == len(open) && len(open) <= 8 && table.Heads() == heads)
+				assert.Assert(t, heads <= headLimit)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"open": func(t *rapid.T) {
+				c, victim := table.Open(now, client)
+				if victim != nil {
+					assert.Assert(t, victim.phase != connBusy || victim.stalled(now) > stallGrace)
+					remove(victim)
+				}
+				if c == nil {
+					assert.Equal(t, len(open), 8)
+					return
+				}
+				open = append(open, c)
+			},
+			"read": func(t *rapid.T) {
+				c, bytes := pick(), rapid.IntRange(1, 4096).Draw(t, "bytes")
+				for victim := table.Read(now, c, bytes, bytes/4); victim != nil; victim = table.Read(now, c, 0, 0) {
+					assert.Assert(t, victim == c || victim.phase == connHead)
+					remove(victim)
+				}
+			},
+			"begin": func(t *rapid.T) {
+				c := pick()
+				if !table.Begin(now, c, int64(rapid.IntRange(1, 200<<10).Draw(t, "cost")), rapid.Bool().Draw(t, "body")) {
+					remove(c)
+				}
+			},
+			"arrived": func(*rapid.T) { table.BodyArrived(pick()) },
+			"idle":    func(*rapid.T) { table.Idle(now, pick()) },
+			"close":   func(*rapid.T) { remove(pick()) },
+		})
+	})
+}
+
+// Guards against a flood of silent connections that closes those that callers reuse.
+func TestUnusedConnectionsAreClosedFirst(t *testing.T) {
+	table := NewConns(ConnLimits{Conns: 3})
+	reused, _ := table.Open(0, client)
+	table.Begin(0, reused, 0, false)
+	table.Idle(0, reused)
+	silent, _ := table.Open(at(time.Second), client)
+	_, _ = table.Open(at(2*time.Second), client)
+	_, victim := table.Open(at(3*time.Second), client)
+	assert.Equal(t, victim, silent)
+}
+
+// Guards against one address that takes all connections: it loses its own first.
+func TestAddressWithMostConnectionsGivesWay(t *testing.T) {
+	table := NewConns(ConnLimits{Conns: 3})
+	_, _ = table.Open(0, netip.MustParseAddr("127.0.0.2"))
+	many, _ := table.Open(at(time.Second), client)
+	_, _ = table.Open(at(time.Second+1), client)
+	_, victim := table.Open(at(2*time.Second), client)
+	assert.Equal(t, victim, many)
+}
+
+// Guards against a limit of the configuration that is not enforced, or that cuts a connection within it.
+func TestOverdueConnections(t *testing.T) {
+	const idle, head = time.Minute, time.Second
+	for _, c := range []struct {
+		name    string
+		play    func(*Conns, *Conn)
+		after   time.Duration
+		overdue bool
+	}{
+		{"new without a byte", func(*Conns, *Conn) {}, 50 * time.Second, false},
+		{"new without a byte for long", func(*Conns, *Conn) {}, 66 * time.Second, true},
+		{"slow head", func(t *Conns, c *Conn) { t.Read(0, c, 10, 0) }, 7 * time.Second, true},
+		{"head within the limit", func(t *Conns, c *Conn) { t.Read(0, c, 10, 0) }, 900 * time.Millisecond, false},
+		{"request in progress", func(t *Conns, c *Conn) { t.Begin(0, c, 0, true) }, time.Hour, false},
+		{"idle after a request", func(t *Conns, c *Conn) { t.Begin(0, c, 0, false); t.Idle(0, c) }, 50 * time.Second, false},
+		{"idle for long", func(t *Conns, c *Conn) { t.Begin(0, c, 0, false); t.Idle(0, c) }, 66 * time.Second, true},
+	} {
+		table := NewConns(ConnLimits{})
+		conn, _ := table.Open(0, client)
+		c.play(table, conn)
+		assert.Equal(t, len(table.Overdue(at(c.after), idle, head)) == 1, c.overdue, c.name)
+		assert.Equal(t, len(table.Overdue(at(c.after), 0, 0)), 0, c.name)
+	}
+}
