--- a/internal/logs/sink.go
+++ b/internal/logs/sink.go
@@ -14,13 +14,17 @@
 // queueLength is the largest number of queued lines, about 2 MB with lines of 500 bytes.
 const queueLength = 4096
 
+// maxQueuedBytes bounds the queued lines together. A line may hold a client's header of any legal length.
+const maxQueuedBytes = 4 << 20
+
 // flushTimeout is the longest time for which Close waits for a writer that blocks.
 const flushTimeout = 200 * time.Millisecond
 
 // Sink is an asynchronous io.Writer. Each Write must be a complete line. It is
 // safe for concurrent use.
 type Sink struct {
-	lines chan []byte
+	lines  chan []byte
+	queued atomic.Int64 // bytes of the queued lines
 	// dropped is the number of lines dropped since the last line was written.
 	dropped atomic.Int64
 	closing chan struct{} // closed by Close
@@ -37,9 +41,15 @@
 // Write queues one line, or drops it when the queue is full. It never blocks and
 // never returns an error.
 func (s *Sink) Write(line []byte) (int, error) {
+	if s.queued.Add(int64(len(line))) > maxQueuedBytes {
+		s.queued.Add(-int64(len(line)))
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
+		s.queued.Add(-int64(len(line)))
 		s.dropped.Add(1)
 	}
 	return len(line), nil
@@ -74,6 +84,7 @@
 
 // writeLine writes a line, after the number of those dropped before it.
 func (s *Sink) writeLine(w io.Writer, line []byte) {
+	defer s.queued.Add(-int64(len(line)))
 	if n := s.dropped.Swap(0); n > 0 {
 		fmt.Fprintf(w, "level=WARN msg=\"log lines left out\" count=%d\n", n)
 	}
--- a/internal/logs/sink_test.go
+++ b/internal/logs/sink_test.go
@@ -77,3 +77,21 @@
 	assert.NilError(t, err)
 	s.Close()
 }
+
+// Guards against a queue that takes all memory by long lines: a blocked writer may hold up maxQueuedBytes only.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	w := &blockingWriter{unblock: make(chan struct{})}
+	s := New(w)
+	line := append(bytes.Repeat([]byte("x"), 64<<10), '\n')
+	for range queueLength / 2 {
+		_, err := s.Write(line)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, s.queued.Load() <= maxQueuedBytes)
+	close(w.unblock)
+	s.Close()
+	assert.Equal(t, s.queued.Load(), int64(0))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Assert(t, w.written.Len() <= maxQueuedBytes+1<<10)
+}
