--- a/internal/crashblame/bench_test.go
+++ b/internal/crashblame/bench_test.go
@@ -42,7 +42,7 @@
 // BenchmarkIdentity is what the identity of a request costs: its head, for each request, and its body, while one with the same head is
 // suspected.
 func BenchmarkIdentity(b *testing.B) {
-	r := Request{Caller: "account-1", Method: "POST", Host: "app.example", Target: "/chat/completions", Parts: []Part{1, 2, 3}, Body: make([]byte, 4<<20)}
+	r := Request{Caller: "account-1", Method: "POST", Host: "app.example", Target: "/chat/completions", Parts: []Part{1, 2, 3}, Body: [][]byte{make([]byte, 4<<20)}}
 	head := r.Head()
 	b.Run("head", func(b *testing.B) {
 		for b.Loop() {
@@ -51,7 +51,7 @@
 	})
 	for _, size := range []int{4 << 10, 4 << 20} {
 		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
-			part := Request{Body: r.Body[:size]}
+			part := Request{Body: [][]byte{r.Body[0][:size]}}
 			for b.Loop() {
 				part.Part(head)
 			}
--- a/internal/crashblame/request.go
+++ b/internal/crashblame/request.go
@@ -13,14 +13,18 @@
 // Request is what identifies a request. Requests of different callers differ.
 type Request struct {
 	Caller, Method, Host, Target string
-	Parts                        []Part // of its prompt, all of them
-	Body                         []byte
+	Parts                        []Part   // of its prompt, all of them
+	Body                         [][]byte // in pieces of any size
 }
 
 // Head returns the first half of the request's identity, which the content of its body is not part of.
 func (r Request) Head() uint32 {
 	h := sha256.New()
-	for _, text := range []string{r.Caller, r.Method, r.Host, r.Target, strconv.Itoa(len(r.Body))} {
+	size := 0
+	for _, piece := range r.Body {
+		size += len(piece)
+	}
+	for _, text := range []string{r.Caller, r.Method, r.Host, r.Target, strconv.Itoa(size)} {
 		// With its length before it, no text can be taken for the end of another one.
 		h.Write(strconv.AppendInt(nil, int64(len(text)), 10))
 		h.Write([]byte{':'})
@@ -34,8 +38,11 @@
 
 // Part returns the request's identity. head is what Head returns.
 func (r Request) Part(head uint32) Part {
-	sum := sha256.Sum256(r.Body)
-	return Part(head)<<32 | Part(binary.BigEndian.Uint32(sum[:]))
+	h := sha256.New()
+	for _, piece := range r.Body {
+		h.Write(piece)
+	}
+	return Part(head)<<32 | Part(binary.BigEndian.Uint32(h.Sum(nil)))
 }
 
 // head returns the first half of a part.
--- a/internal/crashblame/request_test.go
+++ b/internal/crashblame/request_test.go
@@ -8,7 +8,7 @@
 
 // Each field of a request is part of its identity, and nothing of one field can pass for the next.
 func TestRequestsOfDifferentCallersDiffer(t *testing.T) {
-	base := Request{Caller: "a", Method: "GET", Host: "h", Target: "/x", Parts: []Part{1}, Body: []byte("body")}
+	base := Request{Caller: "a", Method: "GET", Host: "h", Target: "/x", Parts: []Part{1}, Body: [][]byte{[]byte("body")}}
 	identity := func(change func(*Request)) Part {
 		r := base
 		change(&r)
@@ -17,7 +17,7 @@
 	seen := map[Part]string{}
 	for name, change := range map[string]func(*Request){
 		"same": func(*Request) {}, "caller": func(r *Request) { r.Caller = "b" }, "method": func(r *Request) { r.Method = "POST" }, "host": func(r *Request) { r.Host = "i" },
-		"target": func(r *Request) { r.Target = "/x?y" }, "parts": func(r *Request) { r.Parts = []Part{2} }, "body": func(r *Request) { r.Body = []byte("bodx") },
+		"target": func(r *Request) { r.Target = "/x?y" }, "parts": func(r *Request) { r.Parts = []Part{2} }, "body": func(r *Request) { r.Body = [][]byte{[]byte("bodx")} },
 		"shifted": func(r *Request) { r.Caller, r.Method = "aG", "ET" },
 	} {
 		p := identity(change)
@@ -25,6 +25,7 @@
 		seen[p] = name
 	}
 	assert.Equal(t, identity(func(*Request) {}), identity(func(*Request) {}))
+	assert.Equal(t, identity(func(*Request) {}), identity(func(r *Request) { r.Body = [][]byte{[]byte("b"), []byte("ody")} }))
 }
 
 // A complete plain answer proves its request at once: it comes when the run has ended.
--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -134,9 +134,11 @@
 	return err == nil && usable
 }
 
-// Write sends a request. After an error the request may have reached the endpoint.
-func (c *Conn) Write(request []byte) error {
-	_, err := c.net.Write(request)
+// Write sends a request: its head, then its body, which is in pieces. After an error the request may have reached the
+// endpoint.
+func (c *Conn) Write(head []byte, body [][]byte) error {
+	buffers := append(net.Buffers{head}, body...)
+	_, err := buffers.WriteTo(c.net)
 	return errors.Wrapf(err, "step=send peer=%s", c.net.RemoteAddr())
 }
 
--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -182,3 +182,25 @@
 		assert.Equal(t, idleTime(http.Header{"Keep-Alive": {value}}), want, value)
 	}
 }
+
+// Guards against descriptors that run out by connections to many endpoints: at the limit of all, an idle connection gives
+// way, and there is none if all are in use.
+func TestConnectionsToAllEndpointsAreBounded(t *testing.T) {
+	handle := func(c net.Conn) { fmt.Fprint(c, answer("mine")) }
+	first, second := serve(t, handle), serve(t, handle)
+	p := NewPool()
+	p.SetLimit(1)
+	c, err := p.Get(context.Background(), first, 0, false)
+	assert.NilError(t, err)
+	_, err = p.Get(context.Background(), second, 0, false)
+	assert.Assert(t, errors.Is(err, ErrFull))
+	response, err := c.ReadHead(http.MethodGet, matchesRequest)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	p.Put(first, c, CompletedAnswer{Header: response.Header})
+	_, err = p.Get(context.Background(), second, 0, false)
+	assert.NilError(t, err)
+	assert.Equal(t, p.open, 1)
+}
--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -36,6 +36,8 @@
 	mu         sync.Mutex
 	byEndpoint map[Key]*endpointConns
 	dialed     int64
+	open       int // connections to all endpoints
+	limit      int // of open; 0 for none
 }
 
 // NewPool returns an empty pool.
@@ -48,9 +50,16 @@
 	return p.dialed
 }
 
+// SetLimit bounds the connections to all endpoints together. 0 means no limit.
+func (p *Pool) SetLimit(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = connections
+}
+
 // Get returns the most recently used idle connection, or opens a new one if
 // there is none or fresh is set. It returns ErrFull if limit connections are
-// open; a limit of 0 means no limit. The caller passes the connection to Put or
+// open, or as many as SetLimit allows in use; a limit of 0 means no limit. The caller passes the connection to Put or
 // Discard when it is done. After an error nothing has been sent to the endpoint.
 func (p *Pool) Get(ctx context.Context, key Key, limit int, fresh bool) (*Conn, error) {
 	if !fresh {
@@ -58,7 +67,7 @@
 			return c, nil
 		}
 	}
-	if !p.reserve(key, limit) {
+	if !p.reserve(key, limit) && (!p.evictIdle() || !p.reserve(key, limit)) {
 		return nil, errors.Wrapf(ErrFull, "step=connect peer=%s", key.Address)
 	}
 	c, err := dial(ctx, key.Address.String())
@@ -129,14 +138,43 @@
 		conns = &endpointConns{}
 		p.byEndpoint[key] = conns
 	}
-	if limit > 0 && conns.open >= limit {
+	if limit > 0 && conns.open >= limit || p.limit > 0 && p.open >= p.limit {
+		if conns.open == 0 {
+			delete(p.byEndpoint, key)
+		}
 		return false
 	}
 	conns.open++
+	p.open++
 	p.dialed++
 	return true
 }
 
+// evictIdle closes an idle connection if there are as many as SetLimit allows, and reports whether it did.
+func (p *Pool) evictIdle() bool {
+	p.mu.Lock()
+	if p.limit == 0 || p.open < p.limit {
+		p.mu.Unlock()
+		return false
+	}
+	var oldest Key
+	var found *endpointConns
+	for key, conns := range p.byEndpoint {
+		if len(conns.idle) > 0 && (found == nil || conns.idle[0].idleUntil.Before(found.idle[0].idleUntil)) {
+			oldest, found = key, conns
+		}
+	}
+	if found == nil {
+		p.mu.Unlock()
+		return false
+	}
+	c := found.idle[0]
+	found.idle = append(found.idle[:0], found.idle[1:]...)
+	p.mu.Unlock()
+	p.Discard(oldest, c)
+	return true
+}
+
 // release counts a connection as closed.
 func (p *Pool) release(key Key) {
 	p.mu.Lock()
@@ -146,6 +184,7 @@
 		return
 	}
 	conns.open--
+	p.open--
 	if conns.open == 0 {
 		delete(p.byEndpoint, key)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/policy"
 	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
@@ -35,9 +36,9 @@
 )
 
 const (
-	// maxAnswerBytes limits an answer that is buffered before it is forwarded, and maxBufferedBytes all
-	// answers that are buffered at a time.
-	maxAnswerBytes, maxBufferedBytes = 16 << 20, 32 << 20
+	// maxAnswerBytes limits an answer that is buffered before it is forwarded. The memory limit bounds all answers that
+	// are buffered at a time.
+	maxAnswerBytes = 16 << 20
 	// maxRefusalBytes limits the body of a refusal, which is not forwarded.
 	maxRefusalBytes = 64 << 10
 	// connectionShare is the share of an endpoint's connection limit that this
@@ -138,7 +139,7 @@
 	g, c := a.gateway, a.call
 	a.recordSent()
 	a.conn.Carry(c.request.ID)
-	if err := a.conn.Write(a.encodeRequest()); err != nil {
+	if err := a.conn.Write(a.encodeHead(), c.bodyPieces()); err != nil {
 		c.possibleRuns++
 		c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
 		return attemptFailed, placement.ResultUnreachable, nil
@@ -190,16 +191,16 @@
 	return placement.ResultUnreachable
 }
 
-// encodeRequest returns the bytes of the request to the endpoint.
-func (a *attempt) encodeRequest() []byte {
+// encodeHead returns the head of the request to the endpoint.
+func (a *attempt) encodeHead() []byte {
 	c := a.call
 	metadata := ForwardMetadata{Endpoint: a.ticket.Endpoint.ID, Remaining: time.Until(c.deadline), Rank: c.rank, LastEventID: c.lastEventID, FetchFrom: a.ticket.FetchFrom}
 	if c.account != nil {
 		metadata.Account = c.account.Name
 	}
 	var b bytes.Buffer
-	b.Grow(len(c.body) + 1024) // room for the head
-	a.gateway.dialect.WriteRequest(&b, c.http, c.body, metadata)
+	b.Grow(1024) // enough for an ordinary one
+	a.gateway.dialect.WriteRequest(&b, c.http, c.bodySize(), metadata)
 	return b.Bytes()
 }
 
@@ -219,10 +220,18 @@
 // an answer that breaks off is never forwarded and can be retried.
 func (a *attempt) bufferAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	g, c := a.gateway, a.call
-	buffered := &bufferedReader{reader: response.Body, total: &g.bufferedBytes}
-	defer buffered.release()
-	body, err := io.ReadAll(buffered)
-	if errors.Is(err, errAnswerTooLong) {
+	body := g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
+	err := body.readFrom(c.http.Context(), response.Body, response.ContentLength, maxAnswerBytes)
+	if err == nil {
+		err = body.complete()
+	}
+	if err != nil {
+		body.close()
+	}
+	if errors.Is(err, errNoMemory) {
+		g.closed.count(refusedAnswer)
+	}
+	if errors.Is(err, errNoMemory) || errors.Is(err, errTooLong) {
 		c.cause = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error()
 		return attemptFailed, placement.ResultFailed, nil
 	}
@@ -234,9 +243,13 @@
 	answer := &bufferedAnswer{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		c.cause = "status " + strconv.Itoa(response.StatusCode)
+		if c.failedAnswer != nil {
+			c.failedAnswer.body.close()
+		}
 		c.failedAnswer = answer
 		return attemptFailed, placement.ResultFailed, completedAnswer(response)
 	}
+	defer body.close()
 	g.deliver(c, answer)
 	return attemptAnswered, placement.ResultServed, completedAnswer(response)
 }
@@ -250,7 +263,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *heldBytes
 }
 
 // deliver sends a buffered answer to the caller.
@@ -260,16 +273,15 @@
 	// Otherwise net/http would guess a Content-Type if the endpoint set none.
 	h["Content-Type"] = nil
 	g.dialect.CopyAnswerHeaders(h, answer.header)
-	h.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	h.Set("Content-Length", strconv.FormatInt(answer.body.size, 10))
 	c.writer.WriteHeader(answer.status)
 	c.headSent = true
-	if _, err := c.writer.Write(answer.body); err != nil {
+	if err := answer.body.sendTo(c.writer); err != nil {
 		c.cause = errors.Wrap(err, "step=answer caller").Error()
 	}
-	c.setWriteDeadline(time.Time{})
 }
 
-// setWriteDeadline limits the writes to the caller. The zero time removes the limit.
+// setWriteDeadline limits the writes to the caller. net/http removes the limit when the answer has been sent.
 func (c *call) setWriteDeadline(t time.Time) {
 	if err := http.NewResponseController(c.writer).SetWriteDeadline(t); err != nil {
 		klog.ErrorS(err, "write deadline not set", "request", c.request.ID)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,16 +4,17 @@
 	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/bootclock"
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
+	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
 	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
@@ -22,6 +23,15 @@
 const (
 	// defaultCallerTimeout applies to requests that give no timeout.
 	defaultCallerTimeout = 30 * time.Second
+	// rejectWriteTimeout limits the time to send an answer of the gateway's own, beyond the caller's time limit.
+	rejectWriteTimeout = 10 * time.Second
+	// unreadTimeout limits the time in which the rest of a small body is read before an early answer, to keep the connection.
+	unreadTimeout = 500 * time.Millisecond
+	// drainTimeout and maxDrainBytes limit how much of a body is read and discarded after a refusal. A caller that sends its
+	// whole body before it reads would otherwise lose the refusal by a reset, and could not try again.
+	drainTimeout, maxDrainBytes = 2 * time.Second, 8 << 20
+	// maxUnreadBytes is the size up to which a body is read to keep the connection. net/http itself reads up to 256 KiB.
+	maxUnreadBytes = 64 << 10
 	// bodyReadTimeout limits the time from a request's arrival to the end of its body.
 	bodyReadTimeout = 10 * time.Second
 	// defaultMaxBodyBytes limits a request's body if the configuration sets no limit.
@@ -37,7 +47,9 @@
 	route   *routing.Route
 	account *routing.Account
 	rank    int
-	body    []byte
+	body    *heldBytes // nil before it is read, and if there is none
+	// unread is whether the body has not been read to its end.
+	unread  bool
 	arrived time.Time
 	// deadline is the latest time for the end of the answer: callerLimit or the end
 	// of the route's timeout, whichever is earlier.
@@ -78,13 +90,20 @@
 
 // ServeHTTP handles one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		g.callerConns.headReceived(conn)
-	}
-	c := &call{writer: w, http: r, arrived: time.Now(), request: g.dialect.ReadRequest(r)}
+	fits := g.callerConns.begin(r)
+	c := &call{writer: w, http: r, arrived: time.Now(), request: g.dialect.ReadRequest(r), unread: r.ContentLength != 0}
+	defer c.release()
+	// It also applies to what net/http sends after the answer, which removes it afterwards.
+	c.setWriteDeadline(c.arrived.Add(max(c.request.CallerTimeout, defaultCallerTimeout) + rejectWriteTimeout))
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !fits {
+		g.closed.count(refusedHead)
+		w.Header().Set("Connection", "close")
+		g.reject(c, http.StatusServiceUnavailable, "no memory for the head")
+		return
+	}
 	if !g.admit(c) {
 		return
 	}
@@ -115,8 +134,10 @@
 			return g.reject(c, http.StatusUnauthorized, "key not known")
 		}
 	}
-	if limit := c.config.Limits.HeaderBytes; limit > 0 && headSize(c.http) > limit {
-		return g.reject(c, http.StatusRequestHeaderFieldsTooLarge, "head too large")
+	if limit := c.config.Limits.HeaderBytes; limit > 0 {
+		if size, _ := headSize(c.http); size > limit {
+			return g.reject(c, http.StatusRequestHeaderFieldsTooLarge, "head too large")
+		}
 	}
 	c.rank = c.config.Rank(c.route, c.account)
 	c.sharedParts = sharedParts(c.request.Parts)
@@ -144,7 +165,8 @@
 }
 
 // readBody buffers the whole body, so that the request can be sent to another
-// endpoint. If it rejects the request, it has sent the answer and returns false.
+// endpoint. If it rejects the request, it has sent the answer and returns false. A request
+// that is refused for lack of memory has not run.
 func (g *Gateway) readBody(c *call) bool {
 	if c.http.ContentLength == 0 {
 		return true
@@ -160,18 +182,91 @@
 	if err := control.SetReadDeadline(c.arrived.Add(bodyReadTimeout)); err != nil {
 		klog.ErrorS(err, "read deadline not set", "request", c.request.ID)
 	}
-	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	c.body = g.bytes.open(memorylimit.Bodies, c.rank == 0, func() {
+		// An error means that the connection has ended.
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	})
+	err := c.body.readFrom(c.http.Context(), c.http.Body, c.http.ContentLength, limit)
+	if err == nil {
+		err = c.body.complete()
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, errTooLong):
+		return g.reject(c, http.StatusRequestEntityTooLarge, "body too large")
+	case errors.Is(err, errNoMemory) || c.body.wasShed():
+		if !c.body.wasShed() {
+			g.closed.count(refusedBody)
+		}
+		c.writer.Header().Set("Connection", "close")
+		return g.reject(c, http.StatusServiceUnavailable, "no memory for the body")
+	default:
+		return g.reject(c, http.StatusBadRequest, "body not read: "+err.Error())
+	}
 	if clearErr := control.SetReadDeadline(time.Time{}); clearErr != nil {
 		klog.ErrorS(clearErr, "read deadline not cleared", "request", c.request.ID)
 	}
+	c.unread = false
+	c.http.Trailer = nil // not forwarded
+	g.callerConns.bodyArrived(c.http)
+	return true
+}
+
+// bodyPieces returns the body.
+func (c *call) bodyPieces() [][]byte {
+	if c.body == nil {
+		return nil
+	}
+	return c.body.pieces
+}
+
+// bodySize returns the size of the body.
+func (c *call) bodySize() int64 {
+	if c.body == nil {
+		return 0
+	}
+	return c.body.size
+}
+
+// release gives back the memory of the request.
+func (c *call) release() {
+	c.body.close()
+	if c.failedAnswer != nil {
+		c.failedAnswer.body.close()
+	}
+}
+
+// drain reads the rest of the body of a request that has been refused, if the connection is closed after it.
+func (c *call) drain() {
+	if !c.unread || c.writer.Header().Get("Connection") != "close" {
+		return
+	}
+	c.body.close()
+	control := http.NewResponseController(c.writer)
+	err := control.Flush()
+	if err == nil {
+		err = control.SetReadDeadline(time.Now().Add(drainTimeout))
+	}
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(c.http.Body, maxDrainBytes))
+	}
 	if err != nil {
-		return g.reject(c, http.StatusBadRequest, "body not read: "+err.Error())
+		klog.V(1).InfoS("body not read to its end", "request", c.request.ID, "err", err)
 	}
-	if int64(len(body)) > limit {
-		return g.reject(c, http.StatusRequestEntityTooLarge, "body too large")
+}
+
+// leaveUnread prepares the connection for an answer before the body has been read to its end. The rest of a large body is
+// not read, so that the connection can't be used again.
+func (c *call) leaveUnread() {
+	if !c.unread {
+		return
+	}
+	if n := c.http.ContentLength; n < 0 || n > maxUnreadBytes {
+		c.writer.Header().Set("Connection", "close")
+	}
+	if err := http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadTimeout)); err != nil {
+		klog.V(1).InfoS("read deadline not set", "request", c.request.ID, "err", err)
 	}
-	c.body = body
-	return true
 }
 
 // serve sends a request to one endpoint after another until one answers or no
@@ -280,6 +375,7 @@
 // reject sends an empty answer with a status and logs the cause. It always returns false.
 func (g *Gateway) reject(c *call, status int, cause string) bool {
 	c.rejected = true
+	c.leaveUnread()
 	h := c.writer.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", retryAfter(c))
@@ -291,6 +387,9 @@
 	h["Content-Type"] = nil
 	h.Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
+	if status == http.StatusServiceUnavailable {
+		c.drain()
+	}
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
--- a/internal/gateway/crashblame.go
+++ b/internal/gateway/crashblame.go
@@ -22,7 +22,7 @@
 
 // identity returns what identifies the request.
 func (c *call) identity() crashblame.Request {
-	r := crashblame.Request{Method: c.http.Method, Host: c.http.Host, Target: c.http.RequestURI, Body: c.body}
+	r := crashblame.Request{Method: c.http.Method, Host: c.http.Host, Target: c.http.RequestURI, Body: c.bodyPieces()}
 	if c.account != nil {
 		r.Caller = c.account.Name
 	}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -79,8 +79,8 @@
 type Dialect interface {
 	// ReadRequest decodes the headers of a caller's request.
 	ReadRequest(r *http.Request) Request
-	// WriteRequest writes the request to an endpoint, with its body.
-	WriteRequest(b *bytes.Buffer, r *http.Request, body []byte, metadata ForwardMetadata)
+	// WriteRequest writes the head of the request to an endpoint, with the size of its body.
+	WriteRequest(b *bytes.Buffer, r *http.Request, bodySize int64, metadata ForwardMetadata)
 	// ReadAnswer decodes the headers of an endpoint's answer.
 	ReadAnswer(status int, h http.Header) Answer
 	// MatchesRequest reports whether an answer belongs to the request with an ID.
--- a/internal/gateway/endpointprocess.go
+++ b/internal/gateway/endpointprocess.go
@@ -50,7 +50,7 @@
 // readReport asks an endpoint on a connection when its process has started. After an error the connection can't be used, and after success it
 // has a deadline for reads.
 func (g *Gateway) readReport(conn *endpointconn.Conn, key endpointconn.Key, deadline time.Time) (int64, error) {
-	if err := conn.Write(g.dialect.ReportRequest()); err != nil {
+	if err := conn.Write(g.dialect.ReportRequest(), nil); err != nil {
 		return 0, err
 	}
 	conn.SetReadDeadline(deadline)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/departures"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/peers"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
@@ -36,6 +37,10 @@
 	// maxHeaderBytes exceeds every limit that a configuration can set, so that
 	// the HTTP server never rejects a request that the configuration allows.
 	maxHeaderBytes = 64 << 10
+	// ownPageTimeout limits the reading of a request for a page of the gateway's own, and the writing of the answer.
+	ownPageTimeout = 10 * time.Second
+	// ownPageHeaderBytes limits the head of such a request. It is the largest that known configurations allow callers.
+	ownPageHeaderBytes = 16 << 10
 	// unreadyDelay is the time between failing the readiness check and closing
 	// the listener. The load balancer checks once a second and removes a
 	// gateway after two failures.
@@ -58,11 +63,10 @@
 	peers       *peers.Exchange
 	started     time.Time
 
-	config        atomic.Pointer[routing.Config]
-	stopping      atomic.Bool
-	bufferedBytes atomic.Int64  // of answers that are read into memory
-	registryRead  atomic.Bool   // whether the registry has been read at least once
-	registryRole  atomic.Uint32 // registryrelay.Role
+	config       atomic.Pointer[routing.Config]
+	stopping     atomic.Bool
+	registryRead atomic.Bool   // whether the registry has been read at least once
+	registryRole atomic.Uint32 // registryrelay.Role
 
 	mu                 sync.Mutex // guards the fields up to queuedCalls
 	table              *placement.Table
@@ -88,8 +92,10 @@
 	queue              waitqueue.Queue
 	queuedCalls        map[*waitqueue.Waiter]*queuedCall
 
-	callerConns *callerConnTracker
-	usage       *usageReports // nil if usage is not reported
+	bytes                                *byteGuard
+	callerConns, readyConns, metricConns *connGuard
+	closed                               *closings
+	usage                                *usageReports // nil if usage is not reported
 
 	callerServer, readyServer, metricsServer *http.Server
 }
@@ -111,12 +117,18 @@
 		heldEntries:     make(map[string]heldEntry),
 		queuedCalls:     make(map[*waitqueue.Waiter]*queuedCall),
 		callerTimeout:   make(map[string]time.Duration),
-		callerConns:     newCallerConnTracker(),
 		streams:         streamversions.NewRecords(),
 		crashes:         crashblame.New(0),
 		serviceVersions: streamversions.NewServices(s.FirstStart),
 		streamQuestions: make(map[streamversions.Stream][]*streamQuestion),
 	}
+	limits := memorylimit.Divide(s.MemoryBytes, s.MaxDescriptors)
+	g.closed = &closings{}
+	g.bytes = newByteGuard(limits, g.now, g.closed)
+	g.callerConns = newConnGuard(limits.Conns, g.now, g.closed)
+	g.readyConns = newConnGuard(memorylimit.OwnPage(memorylimit.ReadinessConns), g.now, g.closed)
+	g.metricConns = newConnGuard(memorylimit.OwnPage(memorylimit.MetricsConns), g.now, g.closed)
+	g.pool.SetLimit(limits.EndpointConns)
 	g.asker = confirmation.NewAsker(s.KeyValidity, rand.Float64())
 	g.peers = peers.NewExchange(s.PeerAddress, s.DataCentre, s.PeerSeeds, g)
 	return g
@@ -152,40 +164,51 @@
 }
 
 // Reload applies those settings of the gateway that can change at run time: the
-// peer seeds.
-func (g *Gateway) Reload(s Settings) { g.peers.SetSeeds(s.PeerSeeds) }
-
-// connKey is the context key of the net.Conn that a request arrived on.
-type connKey struct{}
+// peer seeds and the limits of memory and descriptors.
+func (g *Gateway) Reload(s Settings) {
+	g.peers.SetSeeds(s.PeerSeeds)
+	limits := memorylimit.Divide(s.MemoryBytes, s.MaxDescriptors)
+	g.bytes.setLimits(limits)
+	g.callerConns.setLimits(limits.Conns)
+	g.pool.SetLimit(limits.EndpointConns)
+}
 
 // listen starts the servers of the readiness check, the metrics page and the callers.
 func (g *Gateway) listen() error {
 	readiness := chi.NewRouter()
 	readiness.Get(g.settings.ReadyPath, g.serveReadiness)
-	g.readyServer = &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
+	g.readyServer = ownPageServer(readiness, g.readyConns)
 	g.callerServer = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.callerConns.stateChanged,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
-		},
 	}
+	g.callerConns.guard(g.callerServer)
 	page := chi.NewRouter()
 	page.Handle("/metrics", g.instruments.registry.Page)
-	g.metricsServer = &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}
+	g.metricsServer = ownPageServer(page, g.metricConns)
 	return startServers([]server{
-		{g.settings.ReadyListen, g.readyServer}, {g.settings.MetricsListen, g.metricsServer}, {g.settings.Listen, g.callerServer},
+		{g.settings.ReadyListen, g.readyServer, g.readyConns}, {g.settings.MetricsListen, g.metricsServer, g.metricConns},
+		{g.settings.Listen, g.callerServer, g.callerConns},
 	})
 }
 
-// server is an HTTP server and its listen address. A server with an empty
+// ownPageServer returns the server of a page of the gateway's own.
+func ownPageServer(handler http.Handler, conns *connGuard) *http.Server {
+	s := &http.Server{
+		Handler: conns.protect(handler), ReadTimeout: ownPageTimeout, WriteTimeout: ownPageTimeout, IdleTimeout: headerTimeout, MaxHeaderBytes: ownPageHeaderBytes,
+	}
+	conns.guard(s)
+	return s
+}
+
+// server is an HTTP server with its listen address and the guard of its connections. A server with an empty
 // address is not started.
 type server struct {
 	address string
 	http    *http.Server
+	conns   *connGuard
 }
 
 // startServers starts all servers or none. A process that can't accept callers
@@ -205,7 +228,7 @@
 			}
 			return errors.Wrapf(err, "step=listen address=%s", s.address)
 		}
-		listeners[i] = listener
+		listeners[i] = guardedListener{listener, s.conns}
 	}
 	for i, s := range servers {
 		if listeners[i] == nil {
@@ -277,6 +300,8 @@
 		g.logEndedPauses()
 		g.reportSpillover()
 		g.closeOverdue()
+		g.bytes.trim()
+		g.closed.log(g.instruments.closings)
 		configAge, _ := g.validity.Age(bootclock.Now())
 		g.updateGauges(configAge)
 		g.pool.Sweep(g.shouldKeepConnection)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,9 @@
 	datagramsIgnored                                                         tally.Gauge
 	connectionsDialed                                                        tally.Gauge
 	blamedParts                                                              tally.Gauge
+	// bodyBytes, answerBytes and headBytes are the memory that callers' requests take now.
+	bodyBytes, answerBytes, headBytes, callerConns tally.Gauge
+	closings                                       [closingCount]tally.Counter
 }
 
 func newInstruments() *instruments {
@@ -89,6 +92,13 @@
 		datagramsIgnored:   scope.Gauge("datagrams_ignored"),
 		blamedParts:        scope.Gauge("prompt_parts_blamed"),
 		connectionsDialed:  scope.Gauge("endpoint_connections_made"),
+		bodyBytes:          scope.Gauge("body_bytes_held"),
+		answerBytes:        scope.Gauge("answer_bytes_held"),
+		headBytes:          scope.Gauge("head_bytes_held"),
+		callerConns:        scope.Gauge("caller_connections"),
+	}
+	for reason := range closingCount {
+		m.closings[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("memory_protection_total")
 	}
 	for _, outcome := range []string{outcomeAnswered, outcomeRejected, outcomeTruncated, outcomeCallerLeft} {
 		m.requestsByOutcome[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_total")
@@ -124,4 +134,10 @@
 	g.instruments.peers.Update(float64(g.peers.PeerCount()))
 	g.instruments.datagramsIgnored.Update(float64(g.peers.Ignored()))
 	g.instruments.connectionsDialed.Update(float64(g.pool.Dialed()))
+	bodies, answers := g.bytes.held()
+	conns, heads := g.callerConns.held()
+	g.instruments.bodyBytes.Update(float64(bodies))
+	g.instruments.answerBytes.Update(float64(answers))
+	g.instruments.headBytes.Update(float64(heads))
+	g.instruments.callerConns.Update(float64(conns))
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,6 +38,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// MaxDescriptors is the limit of open descriptors of the process; 0 means no limit.
+	MaxDescriptors int
 	// StopGrace is the time from the stop signal until the process is killed.
 	StopGrace time.Duration
 	// KeyValidity is the time within which a revoked key must be rejected. Keys are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
 
@@ -29,7 +30,7 @@
 	c := a.call
 	s := &eventStream{attempt: a, header: response.Header, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0}
 	err := s.copy(response.Body)
-	c.setWriteDeadline(time.Time{})
+	s.held.close()
 	if err == nil {
 		return attemptAnswered, placement.ResultServed, completedAnswer(response)
 	}
@@ -45,9 +46,10 @@
 type eventStream struct {
 	attempt           *attempt
 	header            http.Header
-	unframed          bool   // whether only the end of the connection ends the answer
-	pending           []byte // bytes received after the last complete event
-	events            int    // complete events received
+	unframed          bool       // whether only the end of the connection ends the answer
+	pending           []byte     // bytes received after the last complete event
+	held              *heldBytes // memory of an event that is large; nil if none was
+	events            int        // complete events received
 	callerWriteFailed bool
 }
 
@@ -84,7 +86,7 @@
 		if len(s.pending) > maxEventBytes {
 			return errors.Newf("step=read stream peer=%s: event over %d bytes", s.attempt.key.Address, maxEventBytes)
 		}
-		return nil
+		return s.account()
 	}
 	end += len(eventDelimiter)
 	if err := s.writeEvents(s.pending[:end]); err != nil {
@@ -94,6 +96,24 @@
 	return nil
 }
 
+// account takes the memory for the bytes of an event that is large. Doubling the buffer takes up to twice of them.
+func (s *eventStream) account() error {
+	if len(s.pending) <= 2*streamBufferSize {
+		return nil
+	}
+	c, g := s.attempt.call, s.attempt.gateway
+	if s.held == nil {
+		s.held = g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
+	}
+	for s.held.holder.Held() < 2*int64(len(s.pending)) {
+		if err := s.held.take(c.http.Context(), memorylimit.SmallBytes); err != nil {
+			g.closed.count(refusedAnswer)
+			return errors.Wrapf(err, "step=read stream peer=%s: event of %d bytes", s.attempt.key.Address, len(s.pending))
+		}
+	}
+	return nil
+}
+
 // writeEvents sends complete events to the caller, after the head if they are the first.
 func (s *eventStream) writeEvents(events []byte) error {
 	c := s.attempt.call
--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -42,6 +42,9 @@
 // Held returns the bytes that a holder has.
 func (h *Holder) Held() int64 { return h.held }
 
+// Share returns the share that a holder uses.
+func (h *Holder) Share() Share { return h.share }
+
 // Shed reports whether the holder has to give its bytes back.
 func (h *Holder) Shed() bool { return h.shed }
 
--- a/internal/memorylimit/budget_test.go
+++ b/internal/memorylimit/budget_test.go
@@ -187,5 +187,5 @@
 	assert.Assert(t, l.Answers >= 16*mib+64*kib)
 	assert.Assert(t, l.Bodies-l.Reserved >= 8*mib+64*kib)
 	assert.Assert(t, l.Conns.Conns >= 800 && l.Conns.Conns+l.EndpointConns+fileDescriptors < 3075)
-	assert.DeepEqual(t, Divide(0, 0), Limits{})
+	assert.DeepEqual(t, Divide(0, 0), Limits{Answers: defaultAnswers})
 }
--- a/internal/memorylimit/limits.go
+++ b/internal/memorylimit/limits.go
@@ -6,20 +6,20 @@
 import "time"
 
 // Shares of the process's memory limit. The Go runtime's soft limit is 0.6 of it; live bytes have to stay below
-// that one, or the garbage collector runs all the time. What is left of it, 0.07, is for the gateway's state.
+// that one, or the garbage collector runs all the time. What is left of it, 0.07, is for the gateway's state, 6 to 8 MiB.
 const (
-	bytesShare  = 0.30 // request bodies and buffered answers together
-	bodiesShare = 0.25
+	bytesShare  = 0.32 // request bodies and buffered answers together
+	bodiesShare = 0.28
 	// answersShare is 16.8 MiB on the smallest host, so that one answer of the largest size, 16 MiB, fits.
 	answersShare = 0.15
-	headsShare   = 0.08
+	headsShare   = 0.06
 	connsShare   = 0.15
 	// reservedShare of the bytes is for urgent requests and small bodies only.
 	reservedShare = 1.0 / 8
 )
 
 const (
-	// connBytes is what a connection takes while no request is in progress, with its goroutine and buffers: 19 KiB
+	// connBytes is what a connection takes while no request is in progress, with its goroutine and buffers: 18.4 KiB
 	// by BenchmarkConnectionMemory of package gateway.
 	connBytes = 20 << 10
 	// fileDescriptors is how many descriptors the platform counts for files, and otherDescriptors those of the store's
@@ -66,9 +66,12 @@
 // OwnPage returns the limits of the connections of the readiness check or the metrics page.
 func OwnPage(conns int) ConnLimits { return ConnLimits{Conns: conns, Heads: ownPageHeads} }
 
-// Divide derives the limits from those of the process. A limit of zero bounds nothing.
+// defaultAnswers bounds the buffered answers of a process without a memory limit.
+const defaultAnswers = 32 << 20
+
+// Divide derives the limits from those of the process. A limit of zero bounds nothing but the answers.
 func Divide(memoryBytes int64, descriptors int) Limits {
-	var l Limits
+	l := Limits{Answers: defaultAnswers}
 	if memoryBytes > 0 {
 		part := func(share float64) int64 { return int64(float64(memoryBytes) * share) }
 		l.Bytes, l.Bodies, l.Answers = part(bytesShare), part(bodiesShare), part(answersShare)
