--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -83,3 +83,10 @@
 		before = memory()
 	}
 }
+
+// Guards against a request that was sent within the configuration's limit and is cut while it is in transit, and a limit of
+// zero that becomes one.
+func TestOverdueSlack(t *testing.T) {
+	assert.Equal(t, withSlack(time.Minute), time.Minute+overdueSlack)
+	assert.Equal(t, withSlack(0), time.Duration(0))
+}
