Memory limits: a burst of new connections closes idle ones, not its own

Cause: at the bound, connections without a request so far went first at any age, so that a burst of 50 on a table with 99 idle ones lost 49 of its own. Change: they go first only while they number more than a quarter of the bound; otherwise the idlest one goes. Result: TestBurstClosesTheIdlest passes, and fails without the change; the test of the flood passes.

--- a/internal/memorylimit/conns.go
+++ b/internal/memorylimit/conns.go
@@ -17,6 +17,9 @@
 	// in 20 lines costs 35 KiB.
 	smallHeadBytes    = 48 << 10
 	reservedHeadShare = 4
+	// unusedConnShare is the part of the connections, a quarter, that may be without any request so far before they
+	// are closed ahead of idle ones.
+	unusedConnShare = 4
 )
 
 // HeadCost returns what a head, or a part of one, takes in memory.
@@ -182,15 +185,17 @@
 	return float64(c.head) * (1 + now.Sub(c.since).Seconds())
 }
 
-// leastUseful returns the connection to close for a new one, nil if all are in use: first one without any request so
-// far, of the address with the most connections and the longest wait; then an idle one; then one whose client keeps a
-// request from going on.
+// leastUseful returns the connection to close for a new one, nil if all are in use: first one without a request in
+// progress, of the address with the most connections and the longest wait; then one whose client keeps a request from
+// going on. Connections without any request so far come before others while they exceed their part: a flood of silent
+// ones must not close those that callers reuse, and an ordinary burst of new ones must not close its own.
 func (t *Conns) leastUseful(now domain.Instant) *Conn {
+	preferUnused := t.unused()*unusedConnShare > t.limits.Conns
 	var worst *Conn
 	var worstTier, worstCount int
 	var worstWait time.Duration
 	for c := range t.conns {
-		tier, wait := c.tier(now)
+		tier, wait := c.tier(now, preferUnused)
 		if tier == 0 {
 			continue
 		}
@@ -202,8 +207,19 @@
 	return worst
 }
 
+// unused returns the number of connections without any request so far.
+func (t *Conns) unused() int {
+	n := 0
+	for c := range t.conns {
+		if !c.served {
+			n++
+		}
+	}
+	return n
+}
+
 // tier returns how little a connection is used, 0 for one that is not closed for others, and how long it has waited.
-func (c *Conn) tier(now domain.Instant) (int, time.Duration) {
+func (c *Conn) tier(now domain.Instant, preferUnused bool) (int, time.Duration) {
 	const stalled, idle, unused = 1, 2, 3
 	wait := now.Sub(c.since)
 	switch {
@@ -212,7 +228,7 @@
 			return stalled, wait
 		}
 		return 0, 0
-	case c.served:
+	case c.served || !preferUnused:
 		return idle, wait
 	default:
 		return unused, wait
