Memory limits: an answer within its share comes before arriving bodies

Cause: an answer of a request that had run was refused although it fitted its share, while the bodies of requests that had not run filled the total, and bodies that waited and the reserve counted against it. Change: answers take no reserve, come before waiting bodies, and the body that began last gives way to them. Result: TestAnswerComesBeforeArrivingBodies passes, and fails without the change.

--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -73,9 +73,8 @@
 	limits  Limits
 	used    [shareCount]int64
 	freeing int64 // held by holders that are shed
-	wanted  int64 // by all that wait
 	holders map[*Holder]struct{}
-	waiting []*Holder // in the order of their wishes
+	waiting []*Holder // answers before bodies, each in the order of their wishes
 }
 
 // NewBudget returns a budget that nobody uses.
@@ -103,7 +102,7 @@
 		return Refused, changes
 	}
 	h.moved, h.progressed = h.held, now
-	ahead := b.wanted
+	ahead := b.ahead(h)
 	if h.urgent {
 		ahead = 0
 	}
@@ -111,7 +110,7 @@
 		b.grant(h, n)
 		return Granted, changes
 	}
-	for b.freeing < n+b.wanted {
+	for b.freeing < n+b.ahead(h) {
 		v := b.victim(now, h, n)
 		if v == nil {
 			return Refused, changes
@@ -122,11 +121,32 @@
 		b.stopWaiting(v)
 	}
 	h.wants = n
-	b.wanted += n
-	b.waiting = append(b.waiting, h)
+	b.enqueue(h)
 	return Waiting, changes
 }
 
+// ahead returns the bytes that holders want that come before h. Answers come before bodies: their requests have run.
+func (b *Budget) ahead(h *Holder) int64 {
+	var sum int64
+	for _, other := range b.waiting {
+		if h.share == Bodies || other.share == Answers {
+			sum += other.wants
+		}
+	}
+	return sum
+}
+
+// enqueue adds a holder to those that wait.
+func (b *Budget) enqueue(h *Holder) {
+	at := len(b.waiting)
+	if h.share == Answers {
+		if i := slices.IndexFunc(b.waiting, func(other *Holder) bool { return other.share == Bodies }); i >= 0 {
+			at = i
+		}
+	}
+	b.waiting = slices.Insert(b.waiting, at, h)
+}
+
 // Progress records that n bytes of a transfer have moved.
 func (b *Budget) Progress(now domain.Instant, h *Holder, n int64) {
 	h.moved += n
@@ -172,7 +192,6 @@
 	if h.wants == 0 {
 		return
 	}
-	b.wanted -= h.wants
 	h.wants = 0
 	b.waiting = slices.DeleteFunc(b.waiting, func(other *Holder) bool { return other == h })
 }
@@ -215,7 +234,7 @@
 
 // reserved returns the part of the bytes that a holder may not use if it gets n more.
 func (b *Budget) reserved(h *Holder, n int64) int64 {
-	if h.urgent || h.held+n <= SmallBytes {
+	if h.urgent || h.share == Answers || h.held+n <= SmallBytes {
 		return 0
 	}
 	return b.limits.Reserved
--- a/internal/memorylimit/budget_test.go
+++ b/internal/memorylimit/budget_test.go
@@ -154,6 +154,32 @@
 	assert.Assert(t, !b.Complete(young), "a shed body may not go on")
 }
 
+// Guards against the answer of a request that has run and that is refused within its share, as bodies of requests that
+// have not run take the total or wait for it: the last one to begin gives way, and the answer comes before the bodies.
+func TestAnswerComesBeforeArrivingBodies(t *testing.T) {
+	b := NewBudget(testLimits)
+	old := receive(t, b, at(1), false, 11*mib)
+	young := receive(t, b, at(2), false, 11*mib)
+	outcome, _ := b.Take(at(3), old, mib)
+	assert.Assert(t, outcome == Waiting && young.Shed())
+	next := b.Open(at(3), Answers, false)
+	outcome, _ = b.Take(at(3), next, 8*mib)
+	assert.Equal(t, outcome, Granted, "neither the reserve nor a body that waits may keep an answer out")
+	last := b.Open(at(3), Answers, false)
+	outcome, _ = b.Take(at(3), last, 7*mib)
+	assert.Equal(t, outcome, Waiting)
+	changes := b.Close(young)
+	assert.Assert(t, len(changes.Granted) > 0 && changes.Granted[0] == last, "an answer waits behind a body")
+
+	b = NewBudget(testLimits)
+	old = receive(t, b, at(1), true, 11*mib)
+	young = receive(t, b, at(2), false, 9*mib)
+	assert.Assert(t, b.Complete(receive(t, b, at(3), true, 5*mib)))
+	next = b.Open(at(4), Answers, false)
+	outcome, _ = b.Take(at(4), next, 8*mib)
+	assert.DeepEqual(t, []bool{outcome == Waiting, old.Shed(), young.Shed()}, []bool{true, false, true})
+}
+
 // Guards against large bodies that starve urgent and small ones.
 func TestReservedPart(t *testing.T) {
 	b := NewBudget(testLimits)
