Memory limits: an upload that moves is not closed for a new connection

Change: it is measured from the last byte that was read. Result: TestMovingUploadIsKept passes, and fails without the change.

--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -223,6 +223,9 @@
 // Read implements net.Conn. It counts the bytes of heads.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.entry.Received(c.guard.now())
+	}
 	if n > 0 && !c.busy.Load() {
 		c.guard.headRead(c, p[:n])
 	}
--- a/internal/memorylimit/conns.go
+++ b/internal/memorylimit/conns.go
@@ -45,8 +45,12 @@
 	uploading bool           // whether the request's body has not arrived whole
 	head      int64          // cost of the request's head
 	blocked   atomic.Int64   // domain.Instant since when a write is in progress; 0 if none is
+	received  atomic.Int64   // domain.Instant of the last byte that was read
 }
 
+// Received records that bytes have been read from the client. It may be called at any time.
+func (c *Conn) Received(now domain.Instant) { c.received.Store(int64(now)) }
+
 // WriteBegins and WriteEnded record a write to the client. They may be called at any time.
 func (c *Conn) WriteBegins(now domain.Instant) { c.blocked.Store(int64(now)) }
 
@@ -57,7 +61,7 @@
 func (c *Conn) stalled(now domain.Instant) time.Duration {
 	var stalled time.Duration
 	if c.uploading {
-		stalled = now.Sub(c.since)
+		stalled = now.Sub(max(c.since, domain.Instant(c.received.Load())))
 	}
 	if since := domain.Instant(c.blocked.Load()); since != 0 {
 		stalled = max(stalled, now.Sub(since))
--- a/internal/memorylimit/conns_test.go
+++ b/internal/memorylimit/conns_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// Guards against an upload that moves and is closed for a new connection: only one that has stopped is.
+func TestMovingUploadIsKept(t *testing.T) {
+	table := NewConns(ConnLimits{Conns: 1})
+	upload, _ := table.Open(0, client)
+	table.Begin(0, upload, 0, true)
+	upload.Received(at(4 * time.Second))
+	opened, victim := table.Open(at(4*time.Second+stallGrace), client)
+	assert.Assert(t, opened == nil && victim == nil)
+	_, victim = table.Open(at(4*time.Second+stallGrace+1), client)
+	assert.Equal(t, victim, upload)
+}
+
 // Guards against one address that takes all connections: it loses its own first.
 func TestAddressWithMostConnectionsGivesWay(t *testing.T) {
 	table := NewConns(ConnLimits{Conns: 3})
