Gateway: a refused body is read until its timeout

Cause: the rest of a refused body was read for 2 s only, so that a caller that sends 4 MiB over 10 Mbit/s before it reads lost the refusal by a reset. Change: it is read until bodyReadTimeout after the arrival; meanwhile the connection counts as stalled. Result: TestRefusedBodyIsReadUntilItsTimeout and TestDrainingConnectionGivesWay pass.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,9 +27,9 @@
 	rejectWriteTimeout = 10 * time.Second
 	// unreadTimeout limits the time in which the rest of a small body is read before an early answer, to keep the connection.
 	unreadTimeout = 500 * time.Millisecond
-	// drainTimeout and maxDrainBytes limit how much of a body is read and discarded after a refusal. A caller that sends its
-	// whole body before it reads would otherwise lose the refusal by a reset, and could not try again.
-	drainTimeout, maxDrainBytes = 2 * time.Second, 8 << 20
+	// maxDrainBytes limits how much of a body is read and discarded after a refusal, until bodyReadTimeout. A caller that
+	// sends its whole body before it reads would otherwise lose the refusal by a reset, and could not try again.
+	maxDrainBytes = 8 << 20
 	// maxUnreadBytes is the size up to which a body is read to keep the connection. net/http itself reads up to 256 KiB.
 	maxUnreadBytes = 64 << 10
 	// bodyReadTimeout limits the time from a request's arrival to the end of its body.
@@ -237,15 +237,16 @@
 }
 
 // drain reads the rest of the body of a request that has been refused, if the connection is closed after it.
-func (c *call) drain() {
+func (g *Gateway) drain(c *call) {
 	if !c.unread || c.writer.Header().Get("Connection") != "close" {
 		return
 	}
 	c.body.close()
+	g.callerConns.draining(c.http)
 	control := http.NewResponseController(c.writer)
 	err := control.Flush()
 	if err == nil {
-		err = control.SetReadDeadline(time.Now().Add(drainTimeout))
+		err = control.SetReadDeadline(c.arrived.Add(bodyReadTimeout))
 	}
 	if err == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(c.http.Body, maxDrainBytes))
@@ -388,7 +389,7 @@
 	h.Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
 	if status == http.StatusServiceUnavailable {
-		c.drain()
+		g.drain(c)
 	}
 	route := ""
 	if c.route != nil {
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// draining records that a request has been refused and the rest of its body is discarded.
+func (g *connGuard) draining(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.table.Draining(c.entry)
+	}
+}
+
 // headRead records that a part of a head has arrived and closes connections if the heads take too much.
 func (g *connGuard) headRead(c *clientConn, part []byte) {
 	size, lines := len(part), bytes.Count(part, []byte{'\n'})
--- a/internal/memorylimit/conns.go
+++ b/internal/memorylimit/conns.go
@@ -43,6 +43,7 @@
 	since     domain.Instant // begin of the phase
 	served    bool           // whether a request has arrived on it
 	uploading bool           // whether the request's body has not arrived whole
+	draining  bool           // whether the request was refused, and the rest of its body is discarded
 	head      int64          // cost of the request's head
 	blocked   atomic.Int64   // domain.Instant since when a write is in progress; 0 if none is
 	received  atomic.Int64   // domain.Instant of the last byte that was read
@@ -143,20 +144,24 @@
 	}
 	t.heads += cost - c.head
 	c.head = cost
-	c.phase, c.since, c.served, c.uploading = connBusy, now, true, body
+	c.phase, c.since, c.served, c.uploading, c.draining = connBusy, now, true, body, false
 	return t.headsFit(c)
 }
 
 // BodyArrived records that the request's body has arrived whole.
 func (t *Conns) BodyArrived(c *Conn) { c.uploading = false }
 
+// Draining records that the request has been refused and the rest of its body is discarded. Until it ends, the
+// connection counts as stalled.
+func (t *Conns) Draining(c *Conn) { c.draining = true }
+
 // Idle records that the request in progress has ended.
 func (t *Conns) Idle(now domain.Instant, c *Conn) {
 	if _, ok := t.conns[c]; !ok {
 		return
 	}
 	t.heads -= c.head
-	c.head, c.phase, c.since, c.uploading = 0, connIdle, now, false
+	c.head, c.phase, c.since, c.uploading, c.draining = 0, connIdle, now, false, false
 }
 
 // headsFit reports whether the heads are within their share with that of c, of which small ones have a part of their own.
@@ -228,6 +233,9 @@
 	wait := now.Sub(c.since)
 	switch {
 	case c.phase == connBusy:
+		if c.draining {
+			return stalled, wait
+		}
 		if wait = c.stalled(now); wait > stallGrace {
 			return stalled, wait
 		}
