Gateway: a lack of its own memory or connections does not count against the endpoint

Cause: an answer without room in the gateway's memory counted as a failure of the endpoint, and at the bound of all endpoint connections each endpoint was tried, refused and avoided. Change: both end with a result that is no failure; the bound has an error of its own, ErrAllFull, which ends the search with 503 if nothing has run.

--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -193,6 +193,8 @@
 	c, err := p.Get(context.Background(), first, 0, false)
 	assert.NilError(t, err)
 	_, err = p.Get(context.Background(), second, 0, false)
+	assert.Assert(t, errors.Is(err, ErrAllFull) && !errors.Is(err, ErrFull), "it would count against the endpoint")
+	_, err = p.Get(context.Background(), first, 1, false)
 	assert.Assert(t, errors.Is(err, ErrFull))
 	response, err := c.ReadHead(http.MethodGet, matchesRequest)
 	assert.NilError(t, err)
--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -24,6 +24,9 @@
 // ErrFull means that the limit of connections to an endpoint has been reached.
 var ErrFull = errors.New("no connection left")
 
+// ErrAllFull means that the limit of connections to all endpoints together has been reached and none is idle.
+var ErrAllFull = errors.New("no connection left to any endpoint")
+
 // endpointConns holds the connections to one endpoint.
 type endpointConns struct {
 	idle []*Conn
@@ -59,7 +62,7 @@
 
 // Get returns the most recently used idle connection, or opens a new one if
 // there is none or fresh is set. It returns ErrFull if limit connections are
-// open, or as many as SetLimit allows in use; a limit of 0 means no limit. The caller passes the connection to Put or
+// open, and ErrAllFull if as many as SetLimit allows are in use; a limit of 0 means no limit. The caller passes the connection to Put or
 // Discard when it is done. After an error nothing has been sent to the endpoint.
 func (p *Pool) Get(ctx context.Context, key Key, limit int, fresh bool) (*Conn, error) {
 	if !fresh {
@@ -67,8 +70,12 @@
 			return c, nil
 		}
 	}
-	if !p.reserve(key, limit) && (!p.evictIdle() || !p.reserve(key, limit)) {
-		return nil, errors.Wrapf(ErrFull, "step=connect peer=%s", key.Address)
+	err := p.reserve(key, limit)
+	if errors.Is(err, ErrAllFull) && p.evictIdle() {
+		err = p.reserve(key, limit)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "step=connect peer=%s", key.Address)
 	}
 	c, err := dial(ctx, key.Address.String())
 	if err != nil {
@@ -128,26 +135,25 @@
 	return c
 }
 
-// reserve counts a new connection as open and returns true, or returns false if
-// limit connections are open already. A limit of 0 means no limit.
-func (p *Pool) reserve(key Key, limit int) bool {
+// reserve counts a new connection as open, or returns ErrFull or ErrAllFull. A limit of 0 means no limit.
+func (p *Pool) reserve(key Key, limit int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.byEndpoint[key]
+	if limit > 0 && conns != nil && conns.open >= limit {
+		return ErrFull
+	}
+	if p.limit > 0 && p.open >= p.limit {
+		return ErrAllFull
+	}
 	if conns == nil {
 		conns = &endpointConns{}
 		p.byEndpoint[key] = conns
 	}
-	if limit > 0 && conns.open >= limit || p.limit > 0 && p.open >= p.limit {
-		if conns.open == 0 {
-			delete(p.byEndpoint, key)
-		}
-		return false
-	}
 	conns.open++
 	p.open++
 	p.dialed++
-	return true
+	return nil
 }
 
 // evictIdle closes an idle connection if there are as many as SetLimit allows, and reports whether it did.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,9 @@
 	attemptNotSent
 	// attemptNotRun means that the endpoint confirmed that it did not run the request.
 	attemptNotRun
+	// attemptNoConnection means that no part of the request was sent, as the connections to all endpoints together are at
+	// their limit. Another endpoint would not help.
+	attemptNoConnection
 	// attemptFailed means that the attempt failed and the request may have run.
 	attemptFailed
 )
@@ -91,6 +94,9 @@
 		if errors.Is(err, endpointconn.ErrFull) {
 			return attemptNotSent, placement.ResultRefused
 		}
+		if errors.Is(err, endpointconn.ErrAllFull) {
+			return attemptNoConnection, placement.ResultCancelled
+		}
 		return attemptNotSent, placement.ResultUnreachable
 	}
 	a.conn = conn
@@ -233,7 +239,7 @@
 	}
 	if errors.Is(err, errNoMemory) || errors.Is(err, errTooLong) {
 		c.cause = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error()
-		return attemptFailed, placement.ResultFailed, nil
+		return attemptFailed, answerRefusedResult(err), nil
 	}
 	if err != nil {
 		c.cause, a.endedByPeer = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error(), endedByPeer(err)
@@ -254,6 +260,15 @@
 	return attemptAnswered, placement.ResultServed, completedAnswer(response)
 }
 
+// answerRefusedResult returns the result of an attempt whose answer the gateway did not take: a lack of its own memory is
+// no failure of the endpoint.
+func answerRefusedResult(err error) placement.Result {
+	if errors.Is(err, errNoMemory) {
+		return placement.ResultCancelled
+	}
+	return placement.ResultFailed
+}
+
 // completedAnswer describes a response whose body has been read to its end, for Pool.Put.
 func completedAnswer(response *http.Response) *endpointconn.CompletedAnswer {
 	return &endpointconn.CompletedAnswer{Header: response.Header, Close: response.Close}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -332,6 +332,8 @@
 	switch end {
 	case attemptNotSent:
 		return true
+	case attemptNoConnection:
+		return false
 	case attemptNotRun:
 		// The endpoint has confirmed that it did not run the request, so that
 		// even non-idempotent requests may be retried.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,9 @@
 	if s.callerWriteFailed {
 		return attemptFailed, placement.ResultCancelled, nil
 	}
+	if errors.Is(err, errNoMemory) {
+		return attemptFailed, answerRefusedResult(err), nil
+	}
 	a.endedByPeer = endedByPeer(err)
 	return attemptFailed, a.readFailureResult(), nil
 }
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -25,7 +25,8 @@
 	ResultUnreachable
 	// ResultTimedOut means that the endpoint did not answer in time.
 	ResultTimedOut
-	// ResultCancelled means that the caller left. It does not count as a failure.
+	// ResultCancelled means that the caller left, or that the gateway itself lacked memory or connections. It does not count
+	// as a failure.
 	ResultCancelled
 )
 
