Gateway: a connection is closed after the reading of a body has failed

Cause: net/http cancels the context of a connection whose read times out; a small body left it open, so that the next request on it ended at once. Change: the answer carries Connection: close. Result: TestConnectionIsClosedAfterBodyTimeout passes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -201,6 +201,9 @@
 		c.writer.Header().Set("Connection", "close")
 		return g.reject(c, http.StatusServiceUnavailable, "no memory for the body")
 	default:
+		// After an error of the connection, as at the read deadline, net/http has cancelled its context, and a later request on
+		// it would end at once.
+		c.writer.Header().Set("Connection", "close")
 		return g.reject(c, http.StatusBadRequest, "body not read: "+err.Error())
 	}
 	if clearErr := control.SetReadDeadline(time.Time{}); clearErr != nil {
