Memory limits: none is shed for a holder that is refused nevertheless

Cause: holders were told to give way one by one until no more was found, and the one that asked was then refused; what was needed did not account for the free bytes, the reserve and the shares. Change: the excess of the share and of the total is computed, and marks are taken back if it can't be covered. Result: TestNoneIsShedInVain passes, and fails if the marks stay; 3000 checks of TestBudgetHoldsItsLimits pass.

--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -72,7 +72,7 @@
 type Budget struct {
 	limits  Limits
 	used    [shareCount]int64
-	freeing int64 // held by holders that are shed
+	freeing [shareCount]int64 // held by holders that are shed
 	holders map[*Holder]struct{}
 	waiting []*Holder // answers before bodies, each in the order of their wishes
 }
@@ -104,20 +104,18 @@
 	h.moved, h.progressed = h.held, now
 	ahead := b.ahead(h)
 	if h.urgent {
-		ahead = 0
+		ahead = [shareCount]int64{}
 	}
-	if b.fits(h, n+ahead) {
+	if b.fits(h, n, ahead) {
 		b.grant(h, n)
 		return Granted, changes
 	}
-	for b.freeing < n+b.ahead(h) {
-		v := b.victim(now, h, n)
-		if v == nil {
-			return Refused, changes
-		}
-		v.shed = true
-		b.freeing += v.held
-		changes.Shed = append(changes.Shed, v)
+	shed, ok := b.shedFor(now, h, n)
+	if !ok {
+		return Refused, changes
+	}
+	changes.Shed = shed
+	for _, v := range shed {
 		b.stopWaiting(v)
 	}
 	h.wants = n
@@ -125,15 +123,16 @@
 	return Waiting, changes
 }
 
-// ahead returns the bytes that holders want that come before h. Answers come before bodies: their requests have run.
-func (b *Budget) ahead(h *Holder) int64 {
-	var sum int64
+// ahead returns the bytes that holders want that come before h, by their shares. Answers come before bodies: their
+// requests have run. Holders that are shed get nothing more.
+func (b *Budget) ahead(h *Holder) [shareCount]int64 {
+	var ahead [shareCount]int64
 	for _, other := range b.waiting {
-		if h.share == Bodies || other.share == Answers {
-			sum += other.wants
+		if !other.shed && (h.share == Bodies || other.share == Answers) {
+			ahead[other.share] += other.wants
 		}
 	}
-	return sum
+	return ahead
 }
 
 // enqueue adds a holder to those that wait.
@@ -169,7 +168,7 @@
 	b.used[h.share] -= n
 	h.held -= n
 	if h.shed {
-		b.freeing -= n
+		b.freeing[h.share] -= n
 	}
 	return b.serveWaiting()
 }
@@ -203,8 +202,8 @@
 	for len(b.waiting) > 0 {
 		h := b.waiting[0]
 		n := h.wants
-		fits := b.fits(h, n)
-		if !fits && b.freeing > 0 {
+		fits := b.fits(h, n, [shareCount]int64{})
+		if !fits && sum(b.freeing) > 0 {
 			break
 		}
 		b.stopWaiting(h)
@@ -223,13 +222,13 @@
 	b.used[h.share] += n
 }
 
-// total returns the bytes of all shares.
-func (b *Budget) total() int64 {
-	var sum int64
-	for _, used := range b.used {
-		sum += used
+// sum returns the bytes of all shares.
+func sum(bytes [shareCount]int64) int64 {
+	var all int64
+	for _, n := range bytes {
+		all += n
 	}
-	return sum
+	return all
 }
 
 // reserved returns the part of the bytes that a holder may not use if it gets n more.
@@ -240,16 +239,29 @@
 	return b.limits.Reserved
 }
 
-// fitsShare reports whether n more bytes of a holder are within its own share.
-func (b *Budget) fitsShare(h *Holder, n int64) bool {
-	limit, reserved := b.limits.Answers, int64(0)
+// excess returns by how much n more bytes of a holder exceed its own share and the total, of which used bytes are taken.
+// It is not positive if they fit.
+func (b *Budget) excess(h *Holder, n int64, used [shareCount]int64) (ofShare, ofTotal int64) {
+	reserved := b.reserved(h, n)
+	limit, shareReserved := b.limits.Answers, int64(0)
 	if h.share == Bodies {
-		limit, reserved = b.limits.Bodies, b.reserved(h, n)
+		limit, shareReserved = b.limits.Bodies, reserved
 	}
-	return limit == 0 || b.used[h.share]+n <= limit-reserved
+	if limit > 0 {
+		ofShare = used[h.share] + n - (limit - shareReserved)
+	}
+	if b.limits.Bytes > 0 {
+		ofTotal = sum(used) + n - (b.limits.Bytes - reserved)
+	}
+	return ofShare, ofTotal
 }
 
-// fits reports whether a holder may have n more bytes.
-func (b *Budget) fits(h *Holder, n int64) bool {
-	return b.fitsShare(h, n) && (b.limits.Bytes == 0 || b.total()+n <= b.limits.Bytes-b.reserved(h, n))
+// fits reports whether a holder may have n more bytes after others got those that are ahead.
+func (b *Budget) fits(h *Holder, n int64, ahead [shareCount]int64) bool {
+	expected := b.used
+	for share := range expected {
+		expected[share] += ahead[share]
+	}
+	ofShare, ofTotal := b.excess(h, n, expected)
+	return ofShare <= 0 && ofTotal <= 0
 }
--- a/internal/memorylimit/budget_test.go
+++ b/internal/memorylimit/budget_test.go
@@ -51,7 +51,7 @@
 	assert.Assert(m, used[Bodies] <= testLimits.Bodies && used[Answers] <= testLimits.Answers && used[Bodies]+used[Answers] <= testLimits.Bytes)
 	assert.Equal(m, len(m.waiting), len(m.b.waiting))
 	if len(m.waiting) > 0 {
-		assert.Assert(m, m.b.freeing > 0, "waits for bytes that nobody gives back")
+		assert.Assert(m, sum(m.b.freeing) > 0, "waits for bytes that nobody gives back")
 	}
 }
 
@@ -180,6 +180,22 @@
 	assert.DeepEqual(t, []bool{outcome == Waiting, old.Shed(), young.Shed()}, []bool{true, false, true})
 }
 
+// Guards against bodies that are shed for one that is refused nevertheless, as the bytes of all that may give way are not
+// enough for it.
+func TestNoneIsShedInVain(t *testing.T) {
+	b := NewBudget(testLimits)
+	old := b.Open(at(1), Bodies, false)
+	assert.Assert(t, b.Complete(receive(t, b, at(1), false, 16*mib)))
+	young := receive(t, b, at(2), false, 3*mib)
+	younger := receive(t, b, at(3), false, 2*mib)
+	outcome, changes := b.Take(at(4), old, 8*mib)
+	assert.Assert(t, outcome == Refused && len(changes.Shed) == 0 && !young.Shed() && !younger.Shed())
+	outcome, changes = b.Take(at(4), old, 3*mib)
+	assert.Assert(t, outcome == Waiting && len(changes.Shed) == 1 && younger.Shed(), "only as many give way as are needed")
+	changes = b.Close(younger)
+	assert.Assert(t, len(changes.Granted) == 1 && changes.Granted[0] == old)
+}
+
 // Guards against large bodies that starve urgent and small ones.
 func TestReservedPart(t *testing.T) {
 	b := NewBudget(testLimits)
--- a/internal/memorylimit/shed.go
+++ b/internal/memorylimit/shed.go
@@ -7,9 +7,37 @@
 // all bodies move, the last one to begin gives way to those before it, so that the oldest come to their end and no two
 // wait for each other. An answer, whose request has run, comes before bodies that arrive. A complete body is never shed: its request may have run.
 
-// victim returns the holder that has to give its bytes back so that h can have n more; nil if h has to do without.
-func (b *Budget) victim(now domain.Instant, h *Holder, n int64) *Holder {
-	sameShare := !b.fitsShare(h, n)
+// shedFor marks the holders that have to give their bytes back so that h can have n more after those that wait before it.
+// It returns false and sheds none if all that may give way do not hold enough.
+func (b *Budget) shedFor(now domain.Instant, h *Holder, n int64) ([]*Holder, bool) {
+	var shed []*Holder
+	for {
+		expected, ahead := b.used, b.ahead(h)
+		for share := range expected {
+			expected[share] += ahead[share] - b.freeing[share]
+		}
+		ofShare, ofTotal := b.excess(h, n, expected)
+		if ofShare <= 0 && ofTotal <= 0 {
+			return shed, true
+		}
+		v := b.victim(now, h, ofShare > 0)
+		if v == nil {
+			break
+		}
+		v.shed = true
+		b.freeing[v.share] += v.held
+		shed = append(shed, v)
+	}
+	for _, v := range shed {
+		v.shed = false
+		b.freeing[v.share] -= v.held
+	}
+	return nil, false
+}
+
+// victim returns the holder that has to give its bytes back for h, nil if h has to do without. If sameShare is set, only
+// the bytes of h's own share help.
+func (b *Budget) victim(now domain.Instant, h *Holder, sameShare bool) *Holder {
 	var worst *Holder
 	var worstScore float64
 	for v := range b.holders {
