Memory limits: a wait for bytes does not count as the client's lag

Cause: a body that waited up to a second for bytes of the budget looked like a stopped upload, and was shed for it. Change: neither the wait that goes on nor earlier ones of the transfer count.

--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -246,7 +246,7 @@
 			g.free[class] = append(g.free[class], piece[:0])
 		}
 	}
-	return g.budget.Return(h.holder, int64(cap(piece)))
+	return g.budget.Return(g.now(), h.holder, int64(cap(piece)))
 }
 
 // close gives all bytes back. Further calls do nothing.
@@ -263,7 +263,7 @@
 			all = append(all, changes)
 		}
 	}
-	all = append(all, g.budget.Close(h.holder))
+	all = append(all, g.budget.Close(g.now(), h.holder))
 	g.mu.Unlock()
 	for _, changes := range all {
 		g.apply(changes)
--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -34,8 +34,9 @@
 	phase             phase
 	began, progressed domain.Instant // began is the begin of the transfer that goes on
 	held              int64
-	moved             int64 // bytes of the transfer that goes on
-	wants             int64 // bytes for which it waits
+	moved             int64         // bytes of the transfer that goes on
+	wants             int64         // bytes for which it waits
+	waited            time.Duration // for bytes, during the transfer that goes on
 	shed              bool
 }
 
@@ -48,10 +49,14 @@
 // Shed reports whether the holder has to give its bytes back.
 func (h *Holder) Shed() bool { return h.shed }
 
-// lag returns how long the transfer of a holder has made no progress, or how far it is behind the usual rate.
+// lag returns how long the transfer of a holder has made no progress, or how far it is behind the usual rate. What it
+// waits for bytes of the budget doesn't count, as the client is not the reason.
 func (h *Holder) lag(now domain.Instant) time.Duration {
+	if h.wants > 0 {
+		now = h.progressed
+	}
 	due := time.Duration(float64(h.moved) / usualRate * float64(time.Second))
-	return max(now.Sub(h.progressed), now.Sub(h.began)-due)
+	return max(now.Sub(h.progressed), now.Sub(h.began)-h.waited-due)
 }
 
 // Outcome is what became of a wish for bytes.
@@ -107,7 +112,7 @@
 		ahead = [shareCount]int64{}
 	}
 	if b.fits(h, n, ahead) {
-		b.grant(h, n)
+		b.grant(now, h, n)
 		return Granted, changes
 	}
 	shed, ok := b.shedFor(now, h, n)
@@ -160,24 +165,24 @@
 
 // Send records that the bytes of a holder begin to be written to a client.
 func (b *Budget) Send(now domain.Instant, h *Holder) {
-	h.phase, h.began, h.progressed, h.moved = sending, now, now, 0
+	h.phase, h.began, h.progressed, h.moved, h.waited = sending, now, now, 0, 0
 }
 
 // Return gives bytes back.
-func (b *Budget) Return(h *Holder, n int64) Changes {
+func (b *Budget) Return(now domain.Instant, h *Holder, n int64) Changes {
 	b.used[h.share] -= n
 	h.held -= n
 	if h.shed {
 		b.freeing[h.share] -= n
 	}
-	return b.serveWaiting()
+	return b.serveWaiting(now)
 }
 
 // Close gives all bytes of a holder back and removes it.
-func (b *Budget) Close(h *Holder) Changes {
+func (b *Budget) Close(now domain.Instant, h *Holder) Changes {
 	delete(b.holders, h)
 	b.stopWaiting(h)
-	return b.Return(h, h.held)
+	return b.Return(now, h, h.held)
 }
 
 // Withdraw ends the wait of a holder. It returns false if it doesn't wait.
@@ -197,7 +202,7 @@
 
 // serveWaiting grants wishes in their order. When no more bytes are to come, it refuses the others, so that none waits
 // for another one that waits.
-func (b *Budget) serveWaiting() Changes {
+func (b *Budget) serveWaiting(now domain.Instant) Changes {
 	var changes Changes
 	for len(b.waiting) > 0 {
 		h := b.waiting[0]
@@ -208,7 +213,7 @@
 		}
 		b.stopWaiting(h)
 		if fits {
-			b.grant(h, n)
+			b.grant(now, h, n)
 			changes.Granted = append(changes.Granted, h)
 		} else {
 			changes.Refused = append(changes.Refused, h)
@@ -217,7 +222,9 @@
 	return changes
 }
 
-func (b *Budget) grant(h *Holder, n int64) {
+func (b *Budget) grant(now domain.Instant, h *Holder, n int64) {
+	h.waited += now.Sub(h.progressed) // the last progress was the wish
+	h.progressed = now
 	h.held += n
 	b.used[h.share] += n
 }
