Crash blame: a process found to run is no longer marked as gone

Change: Heard, and with it Alive, deletes a mark from before it. Result: TestProcessFoundToRunIsNotGone fails before (suspected at once) and passes.

--- a/internal/crashblame/confirm_test.go
+++ b/internal/crashblame/confirm_test.go
@@ -118,3 +118,24 @@
 		assert.Equal(t, len(suspected), 0)
 	}
 }
+
+// Guards against resets that count without a check: one refused connection marked a process as gone for confirmationTime, although it was
+// found to run since.
+func TestProcessFoundToRunIsNotGone(t *testing.T) {
+	for name, find := range map[string]func(l *Ledger, now domain.Instant){
+		"answered": func(l *Ledger, now domain.Instant) { l.Alive(now, process(1)) },
+		"heard":    func(l *Ledger, now domain.Instant) { l.Heard(now, process(1)) },
+		"begun":    func(l *Ledger, now domain.Instant) { l.Begun(now, l.Sent(process(1), nil)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(0)
+			l.Gone(start, process(1))
+			find(l, start)
+			assert.Assert(t, l.isGone(process(1)), "not found later than the mark")
+			find(l, start.Add(time.Second))
+			suspected, _ := l.Lost(start.Add(2*time.Second), l.Sent(process(1), []Part{7}))
+			assert.Equal(t, len(suspected), 0)
+			assert.DeepEqual(t, l.Unconfirmed(), []Process{process(1)})
+		})
+	}
+}
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -250,8 +250,13 @@
 	return list
 }
 
-// Heard records that a process runs.
-func (l *Ledger) Heard(now domain.Instant, process Process) { l.heard[process] = now }
+// Heard records that a process has run at a time. A mark that it was gone before that is wrong.
+func (l *Ledger) Heard(at domain.Instant, process Process) {
+	l.heard[process] = at
+	if goneAt, gone := l.gone[process]; gone && at > goneAt {
+		delete(l.gone, process)
+	}
+}
 
 // crashInstant is the time within which the loss of all requests at a crashing endpoint is noticed.
 const crashInstant = 100 * time.Millisecond
