Crash blame: an answer forgets only the losses until the question

Cause: the answer that a process runs deleted all losses that waited, also one by a crash after the process was asked. Change: Alive gets the time of asking, and keeps records with a later loss and a later mark that the process is gone. Result: TestAnswerToAnEarlierQuestion fails before (no check, no loss left) and passes.

--- a/internal/crashblame/confirm.go
+++ b/internal/crashblame/confirm.go
@@ -110,10 +110,10 @@
 	return l.countCrash(now, c, parts, false)
 }
 
-// Alive records that a process has been found to run: its losses were no crash.
-func (l *Ledger) Alive(now domain.Instant, process Process) {
-	l.Heard(now, process)
-	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(u *unconfirmedLoss) bool { return u.process == process })
+// Alive records that a process that was asked at a time runs: its losses until then were no crash. It may have crashed since.
+func (l *Ledger) Alive(asked domain.Instant, process Process) {
+	l.Heard(asked, process)
+	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(u *unconfirmedLoss) bool { return u.process == process && u.lastAt <= asked })
 }
 
 // isGone reports whether a process is known to have ended.
--- a/internal/crashblame/confirm_test.go
+++ b/internal/crashblame/confirm_test.go
@@ -1,6 +1,7 @@
 package crashblame
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -139,3 +140,20 @@
 		})
 	}
 }
+
+// Guards against a crash that is forgotten because the process ran when it was asked, before the loss.
+func TestAnswerToAnEarlierQuestion(t *testing.T) {
+	l := New(0)
+	l.Lost(start, l.Sent(process(1), []Part{7}))
+	asked := start.Add(checkDelay)
+	assert.Equal(t, len(l.StartChecks(start))+len(l.StartChecks(asked)), 2)
+	l.Lost(asked.Add(10*time.Millisecond), l.Sent(process(1), []Part{8}))
+	l.Alive(asked, process(1))
+	assert.Equal(t, len(l.StartChecks(asked.Add(20*time.Millisecond))), 1)
+	suspected, _ := l.Gone(asked.Add(30*time.Millisecond), process(1))
+	assert.Assert(t, slices.Contains(suspected, 8))
+
+	// The process has been found to be gone after the question.
+	l.Alive(asked, process(1))
+	assert.Assert(t, l.isGone(process(1)))
+}
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -252,7 +252,7 @@
 
 // Heard records that a process has run at a time. A mark that it was gone before that is wrong.
 func (l *Ledger) Heard(at domain.Instant, process Process) {
-	l.heard[process] = at
+	l.heard[process] = max(l.heard[process], at)
 	if goneAt, gone := l.gone[process]; gone && at > goneAt {
 		delete(l.gone, process)
 	}
--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
+	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
@@ -23,7 +24,8 @@
 // crashCheck is a check of an endpoint's process that requests were lost at.
 type crashCheck struct {
 	crashblame.Check
-	endpoint placement.Endpoint
+	endpoint  placement.Endpoint
+	startedAt domain.Instant
 }
 
 // dueCrashChecks applies what the registry says of processes that requests were lost at, and returns those that have to be checked
@@ -36,9 +38,10 @@
 		}
 	}
 	var list []crashCheck
-	for _, check := range g.crashes.StartChecks(g.now()) {
+	now := g.now()
+	for _, check := range g.crashes.StartChecks(now) {
 		if e, ok := g.table.EndpointOf(check.Process.Endpoint); ok {
-			list = append(list, crashCheck{Check: check, endpoint: e})
+			list = append(list, crashCheck{Check: check, endpoint: e, startedAt: now})
 		}
 	}
 	return list
@@ -69,7 +72,7 @@
 	case start != check.Process.Start:
 		g.recordGone(check.Process, goneReport)
 	default:
-		g.crashes.Alive(g.now(), check.Process)
+		g.crashes.Alive(check.startedAt, check.Process)
 		klog.InfoS("no crash", "endpoint", check.endpoint.ID, "start", start)
 	}
 }
