Gateway: only the process of a loss is checked for a crash

Cause: the check took the address of the endpoint's entry whatever start it named, so that a refused connection to another process's address counted the loss. Change: a check is made only if the entry's start is that of the process, as for unheard processes. Result: TestOnlyTheProcessOfTheLossIsChecked fails before (1 check at an entry of an earlier start) and passes.

--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -40,7 +40,8 @@
 	var list []crashCheck
 	now := g.now()
 	for _, check := range g.crashes.StartChecks(now) {
-		if e, ok := g.table.EndpointOf(check.Process.Endpoint); ok {
+		// The address of another start says nothing of this process.
+		if e, ok := g.table.EndpointOf(check.Process.Endpoint); ok && e.Start == check.Process.Start {
 			list = append(list, crashCheck{Check: check, endpoint: e, startedAt: now})
 		}
 	}
