--- a/internal/crashblame/confirm_test.go
+++ b/internal/crashblame/confirm_test.go
@@ -166,3 +166,32 @@
 	suspected, _ := l.Gone(start.Add(confirmationTime), process(1))
 	assert.DeepEqual(t, suspected, []Part{8, 9})
 }
+
+// Guards against resets by the network that blame a part although each process answers right after: before the head of a plain answer, and within
+// settleTime of a stream's first event.
+func TestResetsWithAnswersFromTheProcessBlameNothing(t *testing.T) {
+	for name, lose := range map[string]func(l *Ledger, now domain.Instant, p Process){
+		"whole request": func(l *Ledger, now domain.Instant, p Process) {
+			r := l.Sent(p, nil)
+			l.Identify(r, 7, true)
+			l.Lost(now, r)
+		},
+		"begun stream": func(l *Ledger, now domain.Instant, p Process) {
+			r := l.Sent(p, []Part{7, 8})
+			l.Received(now.Add(-settleTime/2), r)
+			l.Lost(now, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(0)
+			for i := range maxCrashes {
+				now := start.Add(time.Duration(i) * time.Second)
+				lose(l, now, process(i+1))
+				l.StartChecks(now)
+				l.Alive(now.Add(checkDelay), process(i+1))
+				l.Tick(now.Add(checkDelay))
+			}
+			assert.Assert(t, !l.IsBlamed([]Part{7}))
+		})
+	}
+}
