Peer digests: partial ones are followed by a whole one once loads stay the same

Cause: whole digests were counted in digests, and unchanged ones go out only every 400 ms, so that a lost partial one left wrong loads for up to 4.4 s. Change: a digest with the loads of the last one is whole.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -32,8 +32,8 @@
 	// peerListInterval is the interval, in digests, at which a digest lists the
 	// peers whose last digests are valid. New ones are listed at once.
 	peerListInterval = 8
-	// wholeInterval is the interval, in digests, at which a digest to the data centre is whole. Between them they are partial, and
-	// one that is lost leaves the receivers with old loads.
+	// wholeInterval is the interval, in digests, at which a partial digest is replaced by a whole one while loads change.
+	// One that is lost leaves the receivers with old loads.
 	wholeInterval = 12
 	// blamesInterval is the time between two digests that list the blamed prompt parts while nothing has
 	// changed of crashes. It is below the time for which a process that has started makes no probe.
--- a/internal/peers/partial.go
+++ b/internal/peers/partial.go
@@ -7,8 +7,9 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
 
-// Partial digests. Most loads of a process are the same in the next digest. Peers of its data centre, while states are relayed, and peers elsewhere, while
-// they are not, get only what has changed; each wholeInterval-th digest is whole, as one may have been lost.
+// Partial digests. Most loads of a process are the same in the next digest. Peers of its data centre, while states are relayed, and peers
+// elsewhere, while they are not, get only what has changed. One may be lost, so each wholeInterval-th digest is whole, and so is each one with
+// the same loads as the last: these are sent so seldom that wholeInterval of them take seconds.
 
 // partial returns what has changed of a digest's loads since the last call, or the digest itself if a whole one is due.
 func (e *Exchange) partial(digest placement.PeerDigest, wholeDue bool) placement.PeerDigest {
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -98,6 +98,7 @@
 	} else {
 		crashes.Blames = nil
 	}
+	unchanged := slices.Equal(digest.Loads, e.lastDigest.Loads)
 	e.lastCrashes, e.lastDigest, e.lastVersion, e.lastSent = size, digest, confirmed.Version, now
 	e.digests++
 	e.mu.Lock()
@@ -118,7 +119,7 @@
 		e.listedPeers = len(listed)
 	}
 	hash := e.members.Hash()
-	wholeDue := e.wholeDue || e.digests%wholeInterval == 0
+	wholeDue := e.wholeDue || unchanged || e.digests%wholeInterval == 0
 	e.wholeDue = false
 	e.mu.Unlock()
 	send := func(targets []netip.Addr, d *pb.Digest, digest placement.PeerDigest, listed []ListedPeer) {
