Peer digests: loads of a peer's earlier start are void when it restarts

Cause: the first digest of a restarted peer may be partial, and was applied to the loads of its earlier start. Change: a later incarnation, heard or listed, drops the peer's loads first. Counts of requests stay. Result: TestRestartVoidsLoadsOfPartialDigests fails without the change and passes with it.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -106,6 +106,8 @@
 	Newer bool
 	// Started are the peers that run of which that was not known, or that have started again since they were last heard of.
 	Started []netip.Addr
+	// Restarted are those of them that were known by an earlier start. What their earlier digests said is void.
+	Restarted []netip.Addr
 	// Summed are the peers whose own digests count no more, as a sum has their states.
 	Summed []netip.Addr
 }
@@ -120,6 +122,9 @@
 		return Recorded{}
 	}
 	r := Recorded{Newer: true}
+	if p.restarts(message.Incarnation) {
+		r.Restarted = append(r.Restarted, p.address)
+	}
 	wasKnown := p.alive || !message.Own && p.present(now)
 	if !wasKnown || message.Incarnation > p.incarnation {
 		r.Started = append(r.Started, p.address)
@@ -130,6 +135,9 @@
 		p.lastDigestAt, p.alive = now, true
 	}
 	for _, listed := range message.Listed {
+		if p := m.members[listed.Address]; p != nil && message.Present && p.restarts(listed.Incarnation) {
+			r.Restarted = append(r.Restarted, listed.Address)
+		}
 		if m.recordListed(now, listed, message.Present) {
 			r.Started = append(r.Started, listed.Address)
 		}
@@ -162,6 +170,11 @@
 	return started
 }
 
+// restarts reports whether an incarnation is a later one than that by which the peer is known.
+func (p *member) restarts(incarnation uint64) bool {
+	return p.incarnation != 0 && incarnation > p.incarnation
+}
+
 // present reports whether the peer runs, as far as is known.
 func (p *member) present(now domain.Instant) bool {
 	at := max(p.lastHeardAt, p.presentAt)
--- a/internal/peers/partial_test.go
+++ b/internal/peers/partial_test.go
@@ -101,3 +101,25 @@
 	}
 	return counts
 }
+
+// Guards against the loads of a peer before its restart that stay beside those of its first partial digest.
+func TestRestartVoidsLoadsOfPartialDigests(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		n := newNetwork(2)
+		receiver, peer, other := n.add("a", false), n.add("b", false), n.add("c", false)
+		hear := func(from *networkProcess, incarnation uint64, digest placement.PeerDigest, list ...ListedPeer) {
+			d := &pb.Digest{Incarnation: incarnation, Sequence: 1, Format: currentFormat, DataCentre: from.exchange.dataCentre, ToAll: true}
+			encodeDigest(d, digest)
+			encodePeers(d, list)
+			datagram, err := proto.Marshal(d)
+			assert.NilError(t, err)
+			assert.NilError(t, receiver.exchange.handleDatagram(from.address, datagram))
+		}
+		hear(peer, 1, placement.PeerDigest{Loads: []placement.PeerLoad{{Endpoint: 1, InFlight: 9}}})
+		if listed {
+			hear(other, 1, placement.PeerDigest{}, ListedPeer{Address: peer.address.Addr(), DataCentre: peer.exchange.dataCentre, Incarnation: 2})
+		}
+		hear(peer, 2, placement.PeerDigest{Loads: []placement.PeerLoad{{Endpoint: 2, InFlight: 1}}, Partial: true})
+		assert.DeepEqual(t, inFlight(receiver.toldLoads(peer)), map[uint32]int{2: 1})
+	}
+}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -80,6 +80,10 @@
 	if !r.Newer {
 		return nil
 	}
+	for _, address := range r.Restarted {
+		// The next digest may be partial, which would add to the loads of the earlier start.
+		e.handler.PeerDigest(address.String(), placement.PeerDigest{KeepLevels: true})
+	}
 	for _, address := range r.Summed {
 		e.handler.PeerDigest(address.String(), placement.PeerDigest{})
 	}
