Spillover: shortages are held for each class of targets

Cause: requests of 120 ms and of 3 s at one level shared a held shortage, so that the short target sent the long ones away. Change: the key of a shortage has a class of the target, by powers of two. Result: TestShortagesDependOnTargets fails without the change and passes with it.

--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -129,8 +130,12 @@
 	dataCentre  string
 	decodeHeavy bool
 	level       int
+	targetClass int
 }
 
+// targetClass divides targets into classes by powers of two: a wait that uses up a short target is little of a long one.
+func targetClass(target time.Duration) int { return bits.Len64(uint64(max(target.Milliseconds(), 0))) }
+
 // overflow is what is known of the data centres of one service.
 type overflow struct {
 	held  map[siteKey]*heldShortage
@@ -189,7 +194,7 @@
 	target := cmp.Or(q.Target, defaultTarget)
 	for i := range x.sites {
 		site := &x.sites[i]
-		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q)}
+		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q), targetClass: targetClass(target)}
 		site.shortage = site.load.shortage(target)
 		if q.mayUseAll() {
 			site.shortage = svc.overflow.observe(now, key, site.shortage)
--- a/internal/placement/overflow_test.go
+++ b/internal/placement/overflow_test.go
@@ -211,3 +211,21 @@
 	assert.Equal(t, table.Pick(start, q).Spillover, SpilloverNoEndpoint)
 	assert.DeepEqual(t, placeAll(t, table, start.Add(time.Millisecond), 1, plainQuery()), map[string]int{"a": 1})
 }
+
+// Guards against a wait that uses up a short target and makes home count as short for requests with a long one.
+func TestShortagesDependOnTargets(t *testing.T) {
+	table := spilloverTable(auto, 2, 2)
+	svc := table.service("s")
+	for _, s := range svc.endpoints {
+		if table.isHome(s) {
+			s.local.backlog[0] = 60 * initialPrefillSpeed
+		}
+	}
+	shortage := func(target time.Duration) float64 {
+		q := decodeHeavyQuery(1)
+		q.Target = target
+		return table.crossings(start, svc, svc.endpoints, q, func(*endpointState) bool { return true }).sites[0].shortage
+	}
+	assert.Equal(t, shortage(120*time.Millisecond), 1.0)
+	assert.Equal(t, shortage(3*time.Second), 0.0)
+}
