Spillover: the delay of a slow link counts for long shared parts, too

Cause: prompts with long shared parts had no cost of the link, and crossed slow ones although an engine at home could take them. Change: the link cost is added in this case. TestLongSharedPartsAvoidSlowLinks fails without the change.

--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -18,7 +18,7 @@
 // A shortage counts at once and is forgotten slowly, so that single requests that end don't move the traffic back and forth.
 //
 // Requests whose shared parts are long go to the engine that has these, wherever it is: a crossing takes 1 to 2 ms, and prefill of
-// 6,300 tokens 165 to 195 ms. Short shared parts are prefilled once in each data centre.
+// 6,300 tokens 165 to 195 ms. Only the delay of a slow link counts against it. Short shared parts are prefilled once in each data centre.
 
 // SpilloverMode says how placement treats the endpoints of other data centres.
 type SpilloverMode uint8
@@ -171,7 +171,7 @@
 	cost        float64 // while home has room
 	fullBacklog float64 // see service.fullBacklogTokens
 	fixed       float64 // in any case
-	sites       []site  // home first; empty if inactive or large
+	sites       []site  // home first; empty if inactive
 	large       bool    // whether the shared parts of the prompt are long
 	present     bool    // whether home has a usable endpoint
 	hasRoom     bool    // whether one of these can start the request
@@ -186,20 +186,20 @@
 	}
 	x.active, x.large = true, q.hasLongSharedParts(svc)
 	x.fixed = q.crossingKB() * t.settings.Spillover.Price
-	if x.large {
-		return x
-	}
 	x.cost, x.fullBacklog = crossingCost+q.crossingKB()*crossingCostPerKB, svc.fullBacklogTokens()
 	x.sites = sitesOf(now, svc, x.home, usable, q, in)
 	target := cmp.Or(q.Target, defaultTarget)
 	for i := range x.sites {
 		site := &x.sites[i]
+		site.linkCost = float64(svc.overflow.extraDelay(now, x.home, site.dataCentre)) / (linkCostShare * float64(target))
+		if x.large {
+			continue
+		}
 		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q), targetClass: targetClass(target)}
 		site.shortage = site.load.shortage(target)
 		if q.mayUseAll() {
 			site.shortage = svc.overflow.observe(now, key, site.shortage)
 		}
-		site.linkCost = float64(svc.overflow.extraDelay(now, x.home, site.dataCentre)) / (linkCostShare * float64(target))
 	}
 	return x
 }
@@ -256,11 +256,13 @@
 	if !x.active || s.DataCentre == x.home {
 		return 0
 	}
-	if x.large {
-		return x.fixed
-	}
 	at := slices.IndexFunc(x.sites, func(other site) bool { return other.dataCentre == s.DataCentre })
-	if at < 0 {
+	switch {
+	case x.large && at < 0:
+		return x.fixed
+	case x.large:
+		return x.sites[at].linkCost + x.fixed
+	case at < 0:
 		// None of the endpoints there is one that the request is for.
 		return x.cost + x.fixed
 	}
--- a/internal/placement/overflow_test.go
+++ b/internal/placement/overflow_test.go
@@ -229,3 +229,22 @@
 	assert.Equal(t, shortage(120*time.Millisecond), 1.0)
 	assert.Equal(t, shortage(3*time.Second), 0.0)
 }
+
+// Guards against long shared parts that are sent over a slow link though an engine at home may take them.
+func TestLongSharedPartsAvoidSlowLinks(t *testing.T) {
+	crossed := func(elsewhere time.Duration) (n int) {
+		for session := range uint64(40) {
+			table := spilloverTable(auto, 4, 4, 4)
+			for dataCentre, latency := range map[string]time.Duration{"a": 40 * time.Millisecond, "b": elsewhere, "c": elsewhere} {
+				for range minLinkSamples {
+					table.service("s").overflow.observeDelay(start, dataCentre, latency)
+				}
+			}
+			n += placeAll(t, table, start, 1, longPromptQuery(session))["a"]
+		}
+		return 40 - n
+	}
+	near, far := crossed(40*time.Millisecond), crossed(2*time.Second)
+	t.Logf("crossed: %d, over a slow link %d", near, far)
+	assert.Assert(t, far < near)
+}
