Spillover: decode-heavy requests stay at home while the decode pool is elsewhere and home has room

Cause: in small deployments (2+2+2 engines) the decode pool is a single engine. A data centre without it counted as entirely short, so that a crossing cost nothing, and its engines cost outsidePoolCost: all decode-heavy requests crossed while home idled. Change: such a home has the load of all its engines, and outsidePoolCost counts there by its shortage. Result: TestDecodePoolOfOneEngineElsewhere fails without the change (the first request crosses) and passes with it.

--- a/internal/placement/overflow.go
+++ b/internal/placement/overflow.go
@@ -171,6 +171,7 @@
 	cost        float64 // while home has room
 	fullBacklog float64 // see service.fullBacklogTokens
 	fixed       float64 // in any case
+	atHome      float64 // at home, where it is negative while engines outside the pool count as in it
 	sites       []site  // home first; empty if inactive
 	large       bool    // whether the shared parts of the prompt are long
 	present     bool    // whether home has a usable endpoint
@@ -188,6 +189,11 @@
 	x.fixed = q.crossingKB() * t.settings.Spillover.Price
 	x.cost, x.fullBacklog = crossingCost+q.crossingKB()*crossingCostPerKB, svc.fullBacklogTokens()
 	x.sites = sitesOf(now, svc, x.home, usable, q, in)
+	decodeHeavy := len(q.Parts) > 0 && isDecodeHeavy(q)
+	poolIsElsewhere := decodeHeavy && !x.large && x.present && x.sites[0].load.endpoints == 0
+	if poolIsElsewhere {
+		x.sites[0] = sitesOf(now, svc, x.home, usable, q, t.isHome)[0]
+	}
 	target := cmp.Or(q.Target, defaultTarget)
 	for i := range x.sites {
 		site := &x.sites[i]
@@ -195,12 +201,16 @@
 		if x.large {
 			continue
 		}
-		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: len(q.Parts) > 0 && isDecodeHeavy(q), targetClass: targetClass(target)}
+		key := siteKey{dataCentre: site.dataCentre, level: priorityLevel(q.Rank), decodeHeavy: decodeHeavy, targetClass: targetClass(target)}
 		site.shortage = site.load.shortage(target)
 		if q.mayUseAll() {
 			site.shortage = svc.overflow.observe(now, key, site.shortage)
 		}
 	}
+	if poolIsElsewhere {
+		// In small deployments the decode pool is a single engine. Requests of other data centres don't cross to it while theirs has room.
+		x.atHome = -outsidePoolCost * (1 - x.sites[0].shortage)
+	}
 	return x
 }
 
@@ -251,10 +261,10 @@
 	return len(q.Parts) > 1 && float64(sharedTokens(q.Parts)) > svc.prefillSpeed.tokens()*float64(shortPrefillTime.Milliseconds())
 }
 
-// of returns the cost of a crossing to an endpoint for a request of which the endpoint has a number of shared tokens.
+// of returns the cost of an endpoint by its data centre for a request of which the endpoint has a number of shared tokens.
 func (x *crossings) of(s *endpointState, cachedTokens float64) float64 {
 	if !x.active || s.DataCentre == x.home {
-		return 0
+		return x.atHome
 	}
 	at := slices.IndexFunc(x.sites, func(other site) bool { return other.dataCentre == s.DataCentre })
 	switch {
--- a/internal/placement/overflow_test.go
+++ b/internal/placement/overflow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -248,3 +249,23 @@
 	t.Logf("crossed: %d, over a slow link %d", near, far)
 	assert.Assert(t, far < near)
 }
+
+// Guards against decode-heavy requests that all cross to the only engine of the decode pool while home is idle, and against ones that
+// stay at home when it has no room.
+func TestDecodePoolOfOneEngineElsewhere(t *testing.T) {
+	table := spilloverTable(auto, 2, 2, 2)
+	for _, dataCentre := range []string{"a", "b", "c"} {
+		if table.services["s"].endpoints[0].DataCentre != dataCentre {
+			table.settings.DataCentre = dataCentre
+		}
+	}
+	var crossed []bool
+	for n := range uint64(20) {
+		ticket := table.Pick(start, decodeHeavyQuery(100*n))
+		assert.Assert(t, ticket != nil)
+		table.RecordReceived(start, ticket, 1)
+		crossed = append(crossed, ticket.Spillover != SpilloverNone)
+	}
+	assert.DeepEqual(t, crossed[:5], make([]bool, 5))
+	assert.Assert(t, slices.Contains(crossed, true))
+}
