Placement: the secondary engine of a session is no spillover

Cause: spillover named two things since requests leave the data centre by a rule: that, and long prompts at the secondary engine of their session. No behaviour changes.

--- a/internal/placement/admit.go
+++ b/internal/placement/admit.go
@@ -38,11 +38,11 @@
 	// token of each answer per chunk, and most answers then end after their
 	// callers have left.
 	maxPrefillUtilization = 0.75
-	// maxSpilloverUtilization is the prefill utilization above which an engine
+	// maxSecondaryUtilization is the prefill utilization above which an engine
 	// prefills no shared parts of long prompts as the secondary engine of sessions
 	// whose primary engine is healthy. They would evict the cached prompts of its own
 	// sessions.
-	maxSpilloverUtilization = 0.3
+	maxSecondaryUtilization = 0.3
 	// maxPlainDemandPerSlot bounds the running and waiting requests for each slot
 	// of a plain service's endpoint: one request runs and at most two wait.
 	maxPlainDemandPerSlot = 3.0
@@ -121,8 +121,8 @@
 		return false
 	}
 	maxUtilization := c.prefillLimit
-	if c.spillover && c.sharedPrefillTokens(q) > 0 {
-		maxUtilization = min(maxUtilization, maxSpilloverUtilization)
+	if c.secondary && c.sharedPrefillTokens(q) > 0 {
+		maxUtilization = min(maxUtilization, maxSecondaryUtilization)
 	}
 	// An engine that has less urgent prompts in its backlog is utilized by them: a more
 	// urgent one must not be rejected for that.
--- a/internal/placement/deadline_test.go
+++ b/internal/placement/deadline_test.go
@@ -91,7 +91,7 @@
 	for _, c := range []struct {
 		utilization float64
 		picked      bool
-	}{{maxSpilloverUtilization - 0.1, true}, {maxSpilloverUtilization + 0.1, false}} {
+	}{{maxSecondaryUtilization - 0.1, true}, {maxSecondaryUtilization + 0.1, false}} {
 		table := newTable(3)
 		q := longPromptQuery(7)
 		svc := table.services["s"]
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -104,9 +104,9 @@
 	// it prefills. A fetch takes a tenth of the time, but it uses the engines' links
 	// and the copy takes memory from other cached parts.
 	fetchWeight = 1.0
-	// coldSpilloverWeight is the additional cost of a shared token that the secondary
+	// coldSecondaryWeight is the additional cost of a shared token that the secondary
 	// endpoint prefills, relative to any other: the primary one may have it already.
-	coldSpilloverWeight = 1.0
+	coldSecondaryWeight = 1.0
 	// outsidePoolCost is the cost of an engine outside the request's pool.
 	outsidePoolCost = 1.0
 	// toleratedPauseChunks is the prefill, in chunks, that pauses a stream too
@@ -318,7 +318,7 @@
 	outsideAffinity  bool // not an affinity endpoint, while one of these is healthy
 	formerDecodePool bool // in layout.formerDecodePool
 	affinityRank     int  // see affinityList.rank
-	spillover        bool // secondary endpoint of a long prompt while the primary one is healthy
+	secondary        bool // secondary endpoint of a long prompt while the primary one is healthy
 	yield            yield
 	prefillLimit     float64 // see layout.prefillLimit
 	prefillPlan
@@ -339,7 +339,7 @@
 		outsideAffinity:  (affinityRank == 0 || affinityRank > l.affinityWidth) && !l.affinityUnhealthy,
 		formerDecodePool: l.formerDecodePool.contains(s),
 		affinityRank:     affinityRank,
-		spillover:        isLongPrompt(q) && affinityRank == 2 && l.primaryHealthy,
+		secondary:        isLongPrompt(q) && affinityRank == 2 && l.primaryHealthy,
 		yield:            l.yield,
 		prefillLimit:     l.prefillLimit,
 	}
@@ -361,8 +361,8 @@
 	if !c.inPool {
 		score += outsidePoolCost
 	}
-	if c.spillover && c.source == nil {
-		score += c.sharedPrefillTokens(q) * newPrefillWeight / fullBacklog * coldSpilloverWeight
+	if c.secondary && c.source == nil {
+		score += c.sharedPrefillTokens(q) * newPrefillWeight / fullBacklog * coldSecondaryWeight
 	}
 	return score + s.pauseScore(svc, q, c.prefillTokens)
 }
