Replay: simulations run in parallel

Change: tests and the subtests of the two new tables are parallel. Simulations share nothing but constants, which the race detector checks; no check, seed or bound changes.

--- a/internal/replay/leaving_test.go
+++ b/internal/replay/leaving_test.go
@@ -64,6 +64,7 @@
 // that it leaves, while its registry entry calls it ready, is written again, and gateways are cut off
 // from their peers.
 func TestLeavingEnginesGetRequests(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(70); seed < 73; seed++ {
 		sim := newSimulation(seed, 5, engines)
 		sim.simulate(4*time.Second, limitedLoad()...)
--- a/internal/replay/limit_test.go
+++ b/internal/replay/limit_test.go
@@ -111,6 +111,7 @@
 // TestRequestLimitExceeded guards against gateways that together send an engine
 // far more requests than the limit that it names, also if most requests arrive at one of them.
 func TestRequestLimitExceeded(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(50); seed < 56; seed++ {
 		sim := newSimulation(seed, 5, engines)
 		if seed > 52 {
@@ -128,6 +129,7 @@
 // limit far below the earlier rate: those from before the limit count in the same window, and
 // most gateways have sent few of them if callers come through one.
 func TestRequestLimitBelowEarlierRequests(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(56); seed < 59; seed++ {
 		sim := newSimulation(seed, 5, 4)
 		sim.firstShare = 0.9
@@ -141,6 +143,7 @@
 // TestRequestLimitsThatChange guards against a limit that is kept after it has changed or
 // ended: limits fall, rise and end, and requests come back after the end.
 func TestRequestLimitsThatChange(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(60, 5, engines)
 	sim.simulate(6*time.Second, limitedLoad()...)
 	e := sim.engines[3]
@@ -159,6 +162,7 @@
 // TestRequestLimitsOfAllEngines guards against limits that keep more away than they have to:
 // if all engines have one, the requests that they allow are sent.
 func TestRequestLimitsOfAllEngines(t *testing.T) {
+	t.Parallel()
 	for _, gateways := range []int{1, 5, 23} {
 		sim := newSimulation(61, gateways, engines)
 		sim.simulate(6*time.Second, limitedLoad()...)
@@ -179,6 +183,7 @@
 // TestRequestLimitsWhileGatewaysChange guards against limits that are exceeded while gateways
 // join, restart, or are cut off from their peers.
 func TestRequestLimitsWhileGatewaysChange(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(62); seed < 65; seed++ {
 		sim := newSimulation(seed, 5, engines)
 		sim.simulate(6*time.Second, limitedLoad()...)
--- a/internal/replay/pause_test.go
+++ b/internal/replay/pause_test.go
@@ -54,6 +54,7 @@
 // one and want none for a time, also if all engines pause, and against requests that
 // all come at once at the end of a pause.
 func TestPausingEnginesGetRequests(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(75); seed < 78; seed++ {
 		sim := newSimulation(seed, 5, engines)
 		sim.simulate(4*time.Second, limitedLoad()...)
--- a/internal/replay/promptparts_test.go
+++ b/internal/replay/promptparts_test.go
@@ -218,11 +218,17 @@
 // requests arrive at all gateways, beside crashes without a cause, gateways that restart in series
 // and one that is cut off from its peers for a while. Sound requests, which share the crashing ones' first
 // part, are served nearly as often as without them.
-func TestPromptPartCrashesEngines(t *testing.T) { checkCrashingPart(t, false) }
+func TestPromptPartCrashesEngines(t *testing.T) {
+	t.Parallel()
+	checkCrashingPart(t, false)
+}
 
 // TestPromptPartCrashesEnginesBeforeAnswer is the same where engines crash before the head of the answer has arrived, so that
 // the requests that wait there can't be told from the one that crashes them.
-func TestPromptPartCrashesEnginesBeforeAnswer(t *testing.T) { checkCrashingPart(t, true) }
+func TestPromptPartCrashesEnginesBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	checkCrashingPart(t, true)
+}
 
 func checkCrashingPart(t *testing.T, beforeHead bool) {
 	t.Helper()
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -25,6 +25,7 @@
 // TestLowLoad guards against placement rules that delay requests although the
 // engines have spare capacity.
 func TestLowLoad(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(1, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(constantRate(25)), shortPrompts(constantRate(30)), longAnswers(constantRate(10)))
 	sim.finishRequests()
@@ -36,6 +37,7 @@
 // TestBurstOfLongPrompts guards against a burst of long prompts whose prefill
 // pauses urgent streams, and against answers that are cancelled at the timeout.
 func TestBurstOfLongPrompts(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(2, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(burstRate(60, 2.5, 5*time.Second, 14*time.Second)), shortPrompts(constantRate(45)), longAnswers(constantRate(15)))
 	sim.finishRequests()
@@ -51,6 +53,7 @@
 // out first: under sustained prefill overload, requests that are sent to an engine
 // must complete.
 func TestPrefillIsNotWastedInOverload(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(8, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(constantRate(180)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)))
 	sim.finishRequests()
@@ -70,6 +73,7 @@
 // spread over all engines, where they slow down prefill: in a burst of them beside
 // many long prompts, the decode pool must be filled before other engines.
 func TestLongOutputsLeaveEnginesForPrefill(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(9, gateways, engines)
 	sim.simulate(15*time.Second, longPrompts(constantRate(130)), shortPrompts(constantRate(49)), longAnswers(burstRate(16, 3, 4*time.Second, 12*time.Second)))
 	sim.finishRequests()
@@ -81,6 +85,7 @@
 // TestSessionsStayAtAffinityEndpoints guards against repeated prefill of shared
 // parts when sessions move between engines in a burst.
 func TestSessionsStayAtAffinityEndpoints(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(3, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(burstRate(40, 2.5, 5*time.Second, 14*time.Second)), longAnswers(constantRate(15)))
 	sim.finishRequests()
@@ -91,6 +96,7 @@
 // affinity endpoints in overload. All engines are busy then, so spillover only
 // causes their shared parts to be prefilled again.
 func TestBusyAffinityEndpointsKeepSessions(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(10, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(constantRate(200)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)))
 	sim.finishRequests()
@@ -101,6 +107,7 @@
 // TestBurstOfLongOutputs guards against a decode pool that follows a burst of
 // decode-heavy requests too slowly; it should grow within one or two seconds.
 func TestBurstOfLongOutputs(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(4, gateways, engines)
 	sim.simulate(20*time.Second, longPrompts(constantRate(35)), longAnswers(burstRate(15, 2, 6*time.Second, 12*time.Second)))
 	sim.finishRequests()
@@ -110,6 +117,7 @@
 // TestSlowEngines guards against requests placed on engines whose steps take five
 // times as long, which their queue lengths do not show.
 func TestSlowEngines(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(11, gateways, engines)
 	load := []workload{longPrompts(constantRate(40)), shortPrompts(constantRate(49)), longAnswers(constantRate(16))}
 	sim.simulate(4*time.Second, load...)
@@ -126,6 +134,7 @@
 // TestIsolatedGateway guards against late urgent streams when a gateway exchanges
 // no digests with its peers.
 func TestIsolatedGateway(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(5, gateways, engines)
 	sim.simulate(4*time.Second, longPrompts(constantRate(30)), longAnswers(constantRate(12)))
 	sim.gateways[0].isolated = true
@@ -137,6 +146,7 @@
 // TestNoPriorityInversionInOverload guards against a workload that is served less
 // often than a less urgent one of the same service.
 func TestNoPriorityInversionInOverload(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(6, gateways, engines)
 	sim.simulate(15*time.Second, longPrompts(constantRate(150)), shortPrompts(constantRate(60)), longAnswers(constantRate(20)))
 	sim.finishRequests()
@@ -157,6 +167,7 @@
 // the urgent ones may wait for: in a burst of the less urgent ones with cold
 // caches, the urgent ones must be served first.
 func TestUrgentLongPromptsBeforeLessUrgent(t *testing.T) {
+	t.Parallel()
 	sim := newSimulationOf(dense, 21, 5, 18)
 	sim.simulate(12*time.Second, dossiers(burstRate(23, 2.5, 0, 9*time.Second)), programmeNotes(constantRate(17)), memberQuestions(constantRate(35)))
 	sim.finishRequests()
@@ -171,12 +182,14 @@
 // placed: no window of five seconds may lose more than a twelfth of a kind of
 // requests while less urgent ones start.
 func TestUrgentRequestsStarvedByLessUrgentPrefill(t *testing.T) {
+	t.Parallel()
 	checkUrgentServed(t, 40, mixtureOfExperts, 12, 3*time.Second, longPrompts(burstRate(64, 3, 2*time.Second, 12*time.Second)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)))
 }
 
 // TestUrgentRequestsStarvedUnderShortDeadlines guards against the same where the urgent
 // requests have less time than declared, as after a change of their route's timeout.
 func TestUrgentRequestsStarvedUnderShortDeadlines(t *testing.T) {
+	t.Parallel()
 	t.Run("short prompts", func(t *testing.T) {
 		checkUrgentServed(t, 40, mixtureOfExperts, 12, time.Second, longPrompts(burstRate(64, 3, 2*time.Second, 12*time.Second)), shortPrompts(constantRate(49)), longAnswers(constantRate(16)))
 	})
@@ -188,6 +201,7 @@
 // TestUrgentLongPromptsStarvedAtColdStart guards against the same with other draws, in which
 // more of the urgent requests arrive while the engines' caches are cold and nothing has been learnt.
 func TestUrgentLongPromptsStarvedAtColdStart(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{50, 53} {
 		checkUrgentServed(t, seed, dense, 18, 2*time.Second, dossiers(burstRate(23, 2.5, 2*time.Second, 12*time.Second)), programmeNotes(constantRate(17)), memberQuestions(constantRate(35)))
 	}
@@ -214,6 +228,7 @@
 // TestSharedPartsAreFetched guards against shared parts that are prefilled again
 // wherever a session goes when its engine is busy, although another engine has them.
 func TestSharedPartsAreFetched(t *testing.T) {
+	t.Parallel()
 	sim := newSimulationOf(dense, 22, 5, 18)
 	sim.simulate(20*time.Second, dossiers(burstRate(23, 2, 8*time.Second, 14*time.Second)), programmeNotes(constantRate(17)), memberQuestions(constantRate(35)))
 	sim.finishRequests()
@@ -224,6 +239,7 @@
 // TestDeterminism guards against placement that depends on map order or another
 // source of randomness: the same load and seed must give the same decisions.
 func TestDeterminism(t *testing.T) {
+	t.Parallel()
 	simulate := func() []string {
 		sim := newSimulation(7, gateways, engines)
 		sim.simulate(5*time.Second, longPrompts(constantRate(60)), shortPrompts(constantRate(40)), longAnswers(constantRate(15)))
--- a/internal/replay/spillover_test.go
+++ b/internal/replay/spillover_test.go
@@ -21,6 +21,7 @@
 // TestRequestsStayAtHome guards against traffic between data centres that serves nobody, up to a load at which the engines are nearly
 // full: requests with short shared parts stay at home, and as many meet their targets as without regard to data centres.
 func TestRequestsStayAtHome(t *testing.T) {
+	t.Parallel()
 	for _, times := range []float64{1, 2.5} {
 		c := compare(100, func(sim *simulation) { sim.simulate(12*time.Second, sitesLoad(times)...) })
 		c.checkAsGood(t, 0.015, 0.06)
@@ -84,6 +85,7 @@
 // TestOneDataCentreShort guards against callers who wait at a full data centre while the others idle, against all of the surplus
 // at one of these, against a share that jumps, and against traffic that stays away when home has room again.
 func TestOneDataCentreShort(t *testing.T) {
+	t.Parallel()
 	const recovery = 10 * time.Second
 	c := compare(200, func(sim *simulation) {
 		sim.sites.weights = func(at time.Duration) []float64 {
@@ -114,6 +116,7 @@
 
 // TestSlowLink guards against requests that go on to a data centre whose link has become so slow that they are late there.
 func TestSlowLink(t *testing.T) {
+	t.Parallel()
 	const slowFrom = 5 * time.Second
 	c := compare(240, func(sim *simulation) {
 		sim.sites.weights = func(time.Duration) []float64 { return skewed(0, 0.8) }
@@ -134,6 +137,7 @@
 // nothing: two data centres that together could overload the third, all short, callers that move, a data centre that lost two thirds of its engines, and
 // one whose gateways hear none of the others and see their engines idle.
 func TestSpilloverCases(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                  string
 		seed                  uint64
@@ -144,7 +148,7 @@
 			sim.sites.weights = func(time.Duration) []float64 { return []float64{0.48, 0.48, 0.04} }
 			sim.simulate(12*time.Second, sitesLoad(2.2)...)
 		}},
-		// A's share varies by a fifth from seed to seed at this load.
+		// The share of long prompts that meet their targets varies by a fifth from seed to seed at this load.
 		{"all short", 230, 0.1, 0.2, func(sim *simulation) { sim.simulate(5*time.Second, sitesLoad(3.5)...) }},
 		{"callers move", 250, 0.02, 0.35, func(sim *simulation) {
 			sim.sites.weights = func(at time.Duration) []float64 { return skewed(int(at/(3*time.Second))%3, 0.7) }
@@ -172,6 +176,9 @@
 			sim.simulate(8*time.Second, sitesLoad(1.5)...)
 		}},
 	} {
-		t.Run(c.name, func(t *testing.T) { compare(c.seed, c.scenario).checkAsGood(t, c.tolerance, c.maxCrossed) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			compare(c.seed, c.scenario).checkAsGood(t, c.tolerance, c.maxCrossed)
+		})
 	}
 }
--- a/internal/replay/streamgaps_test.go
+++ b/internal/replay/streamgaps_test.go
@@ -80,6 +80,7 @@
 // decode pool changes its size by an engine or two in a burst, and the engines that leave it still run streams. It also guards
 // against a pool in which single engines get several prompts at once.
 func TestGapsOfStreamsBesideBurst(t *testing.T) {
+	t.Parallel()
 	const gateways, engines = 31, 56
 	for _, c := range []struct {
 		name                          string
@@ -91,6 +92,7 @@
 		{"5 tokens an event", shortChunksWideEvents, [3][2]time.Duration{{2 * time.Second, time.Second}, {500 * time.Millisecond, 400 * time.Millisecond}, {300 * time.Millisecond, 250 * time.Millisecond}}, 0.95, 0.78, 0.91},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulationOf(c.spec, 100, gateways, engines)
 			sim.simulate(12*time.Second, heaviestLoad(c.targets)...)
 			sim.finishRequests()
--- a/internal/replay/tiers_test.go
+++ b/internal/replay/tiers_test.go
@@ -65,6 +65,7 @@
 // TestUrgentRequestsOfLowerTierStarved guards against urgent requests of accounts of a lower tier that are rejected, while larger
 // prompts of less urgency start: by the limit that protects the requests of the higher tier, or as nothing keeps the order.
 func TestUrgentRequestsOfLowerTierStarved(t *testing.T) {
+	t.Parallel()
 	// With a share of 0.5, the requests of the higher tier alone fill the engines.
 	for _, lowerTierShare := range []float64{0.5, 0.65} {
 		for seed := uint64(60); seed < 64; seed++ {
@@ -90,6 +91,7 @@
 // TestUrgentRequestsStarvedByMediumPrompts guards against urgent requests that get no answer while less urgent ones start that are over
 // twice their size, but whose prompts don't count as long.
 func TestUrgentRequestsStarvedByMediumPrompts(t *testing.T) {
+	t.Parallel()
 	medium := longPrompts(burstRate(100, 3, 2*time.Second, 12*time.Second))
 	medium.systemPrompt, medium.sessionTokens, medium.uniqueTokens = 1500, 1500, 3000
 	urgent := shortPrompts(constantRate(49))
