--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -443,14 +442,6 @@
 	}
 }
 
-// writeReport writes the replica's report of itself.
-func (r *Replica) writeReport(conn net.Conn) {
-	r.mu.Lock()
-	body := fmt.Sprintf(`{"stage":"both","born":%d}`, r.born)
-	r.mu.Unlock()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-}
-
 // recordArrival records a request and returns the header lines of what its response says of the
 // replica: its pause, that it leaves, and its limit.
 func (r *Replica) recordArrival(request *http.Request) string {
@@ -470,85 +461,3 @@
 	}
 	return lines
 }
-
-// writePlain writes a response that is not a stream. It returns false if the
-// connection must be closed. statements are header lines.
-func (r *Replica) writePlain(conn net.Conn, id, statements string, fault Fault) bool {
-	status, signature := "200 OK", "X-Replica-Seal: seal-"+r.ID+"\r\n"+statements
-	switch fault {
-	case Error:
-		status = "500 Internal Server Error"
-	case MissingSignature:
-		signature = statements
-	case MissingLength:
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\nwhole %s", id, signature, id)
-		return false
-	}
-	r.mu.Lock()
-	body := "whole " + id + strings.Repeat("x", r.padding)
-	r.mu.Unlock()
-	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, signature, len(body), body)
-	if fault == ExtraResponse {
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sContent-Length: 5\r\n\r\nagain", id, signature)
-	}
-	return true
-}
-
-// writeStream writes server-sent events numbered from 1 to streamEvents, starting
-// after the Last-Event-Id of the request. It returns false if the connection must
-// be closed. statements are header lines.
-func (r *Replica) writeStream(conn net.Conn, request *http.Request, statements string, fault Fault, delay time.Duration) bool {
-	lastID := 0
-	if last := request.Header.Get("Last-Event-Id"); last != "" {
-		n, err := strconv.Atoi(last)
-		if err != nil {
-			return false
-		}
-		lastID = n
-	}
-	r.mu.Lock()
-	version := r.version
-	r.mu.Unlock()
-	if version != "" {
-		version = " at " + version
-	}
-	id := request.Header.Get("X-Attempt-Id")
-	framing := "Transfer-Encoding: chunked\r\n"
-	unframed := fault == UnframedStream || fault == EmptyStream || fault == UnframedCut
-	if unframed {
-		framing = ""
-	}
-	if r.crashOnPart(request, BeforeHead) {
-		return false
-	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", id, r.ID, statements, framing)
-	if fault == EmptyStream {
-		return false
-	}
-	if r.crashOnPart(request, AfterHead) {
-		return false
-	}
-	for n := lastID + 1; n <= streamEvents; n++ {
-		time.Sleep(delay)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", n, n, id, version)
-		if unframed {
-			if fault == UnframedCut && n == lastID+3 {
-				event = event[:len(event)/2]
-			}
-			if _, err := io.WriteString(conn, event); err != nil || fault == UnframedCut && n == lastID+3 {
-				return false
-			}
-			continue
-		}
-		if fault == TruncatedStream && n == lastID+3 {
-			fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
-			return false
-		}
-		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
-	}
-	if unframed {
-		return false
-	}
-	fmt.Fprint(conn, "0\r\n\r\n")
-	return true
-}
