Tests of router processes share their environment

Cause: two packages built the program and started the same stand-ins with the same settings, each in its own words. Change: platform/wiring/routertest does it for both; what differs is in its options. Client load, bounds, settings and checks are the same.

--- a/cmd/dunlinpulley-router/signals_test.go
+++ b/cmd/dunlinpulley-router/signals_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,11 +16,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
-	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/replica"
 	"github.com/dunlinpulley/dunlinpulley/platform/dialect"
 	"github.com/dunlinpulley/dunlinpulley/platform/settings"
+	"github.com/dunlinpulley/dunlinpulley/platform/wiring/routertest"
 )
 
 const (
@@ -40,19 +36,7 @@
 // program is the path of the router, which TestMain builds.
 var program string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "dunlinpulley-router")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "router")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(routertest.RunWithProgram(m, &program)) }
 
 // router is a process of the router with stand-ins of the store and of one endpoint.
 type router struct {
@@ -68,36 +52,8 @@
 // newRouter starts the stand-ins and prepares a process, which is not started yet.
 // Its settings are not written yet.
 func newRouter(t *testing.T) *router {
-	endpoint, err := replica.Start("i-1")
-	assert.NilError(t, err)
-	t.Cleanup(endpoint.Stop)
-	store := metastore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	put := func(table, key string, value any) {
-		data, err := json.Marshal(value)
-		assert.NilError(t, err)
-		store.Put(table, key, data)
-	}
-	put("servers", endpoint.ID, map[string]any{
-		"service": "app", "address": endpoint.Address(), "zone": "a", "slots": 8, "state": "ready", "born": replica.FirstBorn, "version": "v1"})
-	put("op", "config", map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "app", "max_connections": 50}}, "tenants": []any{},
-		"routes": []any{map[string]any{
-			"name": "once", "host": "app.example", "prefix": "/once/", "kind": "non_idempotent", "timeout_ms": 8000, "service": "app", "max_attempts": 1}},
-	})
-	r := &router{t: t, front: loopback.Address(), ready: loopback.Address(), endpoint: endpoint, settingsPath: filepath.Join(t.TempDir(), "settings.json")}
-	peerIP, _, err := net.SplitHostPort(loopback.Address())
-	assert.NilError(t, err)
-	r.settings, err = json.Marshal(map[string]any{
-		"node_name": "router", "ip": peerIP, "zone": "a", "bootstrap": true,
-		"listen": map[string]string{"front": r.front, "ready": r.ready}, "internal_ports": []int{6901, 6901}, "seeds": []string{peerIP + ":6901"},
-		"limits":   map[string]any{"memory_mb": 128},
-		"bounds":   map[string]any{"grace_s": 8, "revoke_ms": 60000, "strict_revoke": true, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 50},
-		"provider": map[string]any{"address": strings.TrimPrefix(server.URL, "http://")},
-	})
-	assert.NilError(t, err)
-	return r
+	e := routertest.Start(t, routertest.Options{Slots: 8, MaxConnections: 50, HostLimits: map[string]any{"memory_mb": 128}})
+	return &router{t: t, front: e.Front, ready: e.Ready, endpoint: e.Endpoint, settings: e.Settings, settingsPath: filepath.Join(t.TempDir(), "settings.json")}
 }
 
 // start starts the process with its output going to stdout, or to a file if that is nil. It is killed when the test ends.
