--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -11,6 +11,23 @@
 // crashDowntime is how long a process is gone after a crash: connections are refused.
 const crashDowntime = 300 * time.Millisecond
 
+// Outage is what becomes of a process that a request has crashed.
+type Outage struct {
+	// Time is how long the process is gone before it starts again.
+	Time time.Duration
+	// Accepts is whether connections are accepted and ended meanwhile, as by a proxy in front of the host, and not refused.
+	Accepts bool
+	// Final is whether the process never starts again.
+	Final bool
+}
+
+// SetOutage replaces the outage after crashes, which is a refusal of connections for crashDowntime at first.
+func (r *Replica) SetOutage(o Outage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outage = o
+}
+
 // CrashMoment is what a client has received of a stream when its prompt crashes the replica.
 type CrashMoment uint8
 
@@ -100,15 +117,31 @@
 	}
 }
 
-// crash ends the process and starts it again. It returns true.
+// serveAgain ends an outage in which connections were accepted.
+func (r *Replica) serveAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = false
+}
+
+// crash ends the process, and starts it again unless the outage is final. It returns true.
 func (r *Replica) crash() bool {
 	r.mu.Lock()
 	now := time.Now()
 	r.crashes = append(r.crashes, now)
 	r.born = max(now.UnixMilli(), r.born+1)
-	if r.listener != nil {
+	switch {
+	case r.gone:
+	case r.outage.Accepts:
+		r.gone = true
+		if !r.outage.Final {
+			time.AfterFunc(r.outage.Time, r.serveAgain)
+		}
+	case r.listener != nil:
 		r.stopListening()
-		time.AfterFunc(crashDowntime, r.startAgain)
+		if !r.outage.Final {
+			time.AfterFunc(r.outage.Time, r.startAgain)
+		}
 	}
 	for conn := range r.conns {
 		closeQuietly(conn)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -100,6 +100,8 @@
 	crashTarget string
 	crashed     func()      // called after each crash
 	crashes     []time.Time // by requests
+	outage      Outage
+	gone        bool // whether the process is gone and connections are accepted nevertheless
 }
 
 // Arrival is a request that reached a replica, executed or not.
@@ -117,7 +119,7 @@
 
 // Start starts a replica on a loopback address of its own, at which it can start again after a crash. It runs until Stop.
 func Start(id string) (*Replica, error) {
-	r := &Replica{ID: id, address: loopback.Address(), delay: time.Millisecond, born: FirstBorn, conns: make(map[net.Conn]bool), refusals: make(map[net.Conn]string)}
+	r := &Replica{ID: id, address: loopback.Address(), delay: time.Millisecond, born: FirstBorn, outage: Outage{Time: crashDowntime}, conns: make(map[net.Conn]bool), refusals: make(map[net.Conn]string)}
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
@@ -305,7 +307,7 @@
 			return
 		}
 		r.mu.Lock()
-		if r.listener != listener && !r.stopped {
+		if r.gone || r.listener != listener && !r.stopped {
 			// The process has ended since then.
 			r.mu.Unlock()
 			closeQuietly(conn)
