--- a/internal/crashblame/confirm.go
+++ b/internal/crashblame/confirm.go
@@ -14,11 +14,16 @@
 
 const (
 	// checkDelay is the time from a loss until the process is asked whether it runs. A process that has crashed mostly refuses connections
-	// at once, so that it need not be asked; otherwise it has started again by then, or something between ends its connections. There is
-	// only one question for a loss.
+	// at once, so that it need not be asked; otherwise it has started again by then, or something between ends its connections.
 	checkDelay = 400 * time.Millisecond
-	// confirmationTime is how long a loss waits for the confirmation, and how long a process is known to be gone.
-	confirmationTime = 5 * time.Second
+	// askAgainDelay is the time from a question that got no answer until the next one.
+	askAgainDelay = time.Second
+	// maxEndedQuestions is the number of questions in a row, askAgainDelay apart, that the endpoint's side has ended without an answer after
+	// which a process is gone. Resets by a network don't last as long, and mostly concern other processes too.
+	maxEndedQuestions = 2
+	// confirmationTime is how long a loss waits for the confirmation, and how long a process is known to be gone. The registry entry of a
+	// process that has ended is removed within it.
+	confirmationTime = 8 * time.Second
 	// maxUnconfirmed bounds the processes with losses that wait for the confirmation.
 	maxUnconfirmed = 256
 )
@@ -26,10 +31,12 @@
 // unconfirmedLoss is the loss of requests at a process of which it is not known whether it is gone.
 type unconfirmedLoss struct {
 	process Process
-	at      domain.Instant // first loss since the last check
-	lastAt  domain.Instant
-	// connected and asked are whether these checks have been started since at.
+	// firstAt and lastAt are the times of the first and the last loss.
+	firstAt, lastAt domain.Instant
+	askAt           domain.Instant // when the next question is due
+	// connected and asked are whether these checks have been started for the losses that were noticed together.
 	connected, asked bool
+	ended            int                     // questions that the endpoint's side has ended, since anything came from the process
 	parts            map[Part]domain.Instant // of requests whose answers had not begun, and the last loss of each
 }
 
@@ -41,11 +48,11 @@
 			return
 		}
 		i = len(l.unconfirmed)
-		l.unconfirmed = append(l.unconfirmed, &unconfirmedLoss{process: process, at: now, parts: make(map[Part]domain.Instant)})
+		l.unconfirmed = append(l.unconfirmed, &unconfirmedLoss{process: process, firstAt: now, askAt: now.Add(checkDelay), parts: make(map[Part]domain.Instant)})
 	}
 	u := l.unconfirmed[i]
 	if u.asked {
-		u.at, u.connected, u.asked = now, false, false
+		u.askAt, u.connected, u.asked = now.Add(checkDelay), false, false
 	}
 	u.lastAt = now
 	for _, p := range parts {
@@ -71,8 +78,8 @@
 	Ask bool
 }
 
-// StartChecks returns the checks to be made now: one of each kind for the losses at a process that are noticed within checkDelay. Gone or
-// Alive has to be told what is found, if a check tells anything.
+// StartChecks returns the checks to be made now: one of each kind for the losses at a process that are noticed within checkDelay, and
+// further questions while they get no answer. Gone, Alive or Unanswered has to be told what is found.
 func (l *Ledger) StartChecks(now domain.Instant) []Check {
 	var list []Check
 	for _, u := range l.unconfirmed {
@@ -80,7 +87,7 @@
 		case !u.connected:
 			u.connected = true
 			list = append(list, Check{Process: u.process})
-		case !u.asked && now.Sub(u.at) >= checkDelay:
+		case !u.asked && now >= u.askAt:
 			u.asked = true
 			list = append(list, Check{Process: u.process, Ask: true})
 		}
@@ -117,6 +124,33 @@
 	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(u *unconfirmedLoss) bool { return u.process == process && u.forget(asked) })
 }
 
+// Unanswered records that a process that was asked has not answered: it is asked again. ended is whether the endpoint's side has ended the
+// connection. It reports whether the process is gone: it ends all connections, while another one has been heard since the loss.
+func (l *Ledger) Unanswered(now domain.Instant, process Process, ended bool) (gone bool) {
+	i := slices.IndexFunc(l.unconfirmed, func(u *unconfirmedLoss) bool { return u.process == process })
+	if i < 0 {
+		return false
+	}
+	u := l.unconfirmed[i]
+	if u.asked {
+		u.askAt, u.asked = now.Add(askAgainDelay), false
+	}
+	if ended {
+		u.ended++
+	}
+	return u.ended >= maxEndedQuestions && l.heardOther(u)
+}
+
+// heardOther reports whether anything came from another process since a loss.
+func (l *Ledger) heardOther(u *unconfirmedLoss) bool {
+	for process, at := range l.heard {
+		if process != u.process && at > u.firstAt {
+			return true
+		}
+	}
+	return false
+}
+
 // isGone reports whether a process is known to have ended.
 func (l *Ledger) isGone(process Process) bool {
 	_, gone := l.gone[process]
--- a/internal/crashblame/confirm_test.go
+++ b/internal/crashblame/confirm_test.go
@@ -195,3 +195,56 @@
 		})
 	}
 }
+
+// Guards against crashes that are never confirmed where something accepts connections for a process that is gone, and against resets that
+// a network causes and that count for the same reason.
+func TestProcessThatEndsAllConnectionsIsGone(t *testing.T) {
+	const one, other = 1, 2
+	for _, c := range []struct {
+		name        string
+		ended       []bool
+		otherHeard  bool
+		heardAgain  bool
+		expectsGone bool
+	}{
+		{"all ended, others answer", []bool{true, true}, true, false, true},
+		{"all ended, nobody answers", []bool{true, true}, false, false, false},
+		{"one ended", []bool{true}, true, false, false},
+		{"no answer in time", []bool{false, false}, true, false, false},
+		{"heard between", []bool{true, true}, true, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(0)
+			l.Lost(start, l.Sent(process(one), []Part{7}))
+			now, gone := start, false
+			for _, ended := range c.ended {
+				now = now.Add(askAgainDelay)
+				if c.otherHeard {
+					l.Heard(now, process(other))
+				}
+				gone = l.Unanswered(now, process(one), ended)
+				if c.heardAgain {
+					l.Heard(now, process(one))
+				}
+			}
+			assert.Equal(t, gone, c.expectsGone)
+		})
+	}
+}
+
+// A question that gets no answer is asked again while the loss waits, at most once in askAgainDelay.
+func TestUnansweredQuestionIsAskedAgain(t *testing.T) {
+	l := New(0)
+	l.Lost(start, l.Sent(process(1), []Part{7}))
+	l.StartChecks(start)
+	questions := 0
+	for after := time.Duration(0); after < 2*confirmationTime; after += 50 * time.Millisecond {
+		now := start.Add(after)
+		for range l.StartChecks(now) {
+			questions++
+			l.Unanswered(now, process(1), false)
+		}
+		l.Tick(now)
+	}
+	assert.Assert(t, questions > 1 && questions <= int(confirmationTime/askAgainDelay), "%d questions", questions)
+}
--- a/internal/crashblame/ledger.go
+++ b/internal/crashblame/ledger.go
@@ -253,6 +253,11 @@
 // Heard records that a process has run at a time. A mark that it was gone before that is wrong.
 func (l *Ledger) Heard(at domain.Instant, process Process) {
 	l.heard[process] = max(l.heard[process], at)
+	for _, u := range l.unconfirmed {
+		if u.process == process {
+			u.ended = 0
+		}
+	}
 	if goneAt, gone := l.gone[process]; gone && at > goneAt {
 		delete(l.gone, process)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -214,6 +214,7 @@
 func (a *attempt) handleNotRun(response *http.Response, answer Answer) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	a.call.cause = "refused with status " + strconv.Itoa(response.StatusCode)
 	if answer.Misdirected {
+		a.recordMisdirected()
 		return attemptNotRun, placement.ResultUnreachable, nil
 	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes+1)); err != nil || n > maxRefusalBytes {
--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -16,9 +16,12 @@
 
 // Causes for which an endpoint's process is known to be gone, as logs name them.
 const (
-	goneRegistry = "registry" // its entry names a later start
-	goneRefused  = "refused"  // a connection to its address is refused
-	goneReport   = "report"   // the process at its address names another start
+	goneRegistry    = "registry"    // its entry names a later start
+	goneEntry       = "entry"       // it has no entry any more
+	goneRefused     = "refused"     // a connection to its address is refused
+	goneReport      = "report"      // the process at its address names another start
+	goneSilent      = "silent"      // its address ends all connections without an answer, while other endpoints answer
+	goneMisdirected = "misdirected" // another endpoint answers at its address
 )
 
 // crashCheck is a check of an endpoint's process that requests were lost at.
@@ -68,7 +71,13 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.recordGone(check.Process, goneRefused)
 	case !check.Ask:
-	case err != nil || check.Process.Start == 0:
+	case err != nil:
+		if g.crashes.Unanswered(g.now(), check.Process, endedByPeer(err)) {
+			g.recordGone(check.Process, goneSilent)
+			return
+		}
+		klog.InfoS("crash not confirmed", "endpoint", check.endpoint.ID, "start", check.Process.Start, "err", err)
+	case check.Process.Start == 0:
 		klog.InfoS("crash not confirmed", "endpoint", check.endpoint.ID, "start", check.Process.Start, "err", err)
 	case start != check.Process.Start:
 		g.recordGone(check.Process, goneReport)
@@ -112,6 +121,13 @@
 	a.gateway.recordGone(a.process(), goneRefused)
 }
 
+// recordMisdirected records that an endpoint's process is gone, as another endpoint answers at its address.
+func (a *attempt) recordMisdirected() {
+	a.gateway.mu.Lock()
+	defer a.gateway.mu.Unlock()
+	a.gateway.recordGone(a.process(), goneMisdirected)
+}
+
 // recordGone records that an endpoint's process is gone, so that the requests that were lost there count. The caller must hold g.mu.
 func (g *Gateway) recordGone(process crashblame.Process, cause string) {
 	suspected, blamed := g.crashes.Gone(g.now(), process)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/confirmation"
+	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
@@ -82,8 +83,11 @@
 	klog.InfoS("endpoint has no entry", "endpoint", id, "doubted", deferred)
 }
 
-// removeEndpoint removes an endpoint. The caller must hold g.mu.
+// removeEndpoint removes an endpoint. Its process has ended, or is about to. The caller must hold g.mu.
 func (g *Gateway) removeEndpoint(now domain.Instant, id string) {
+	if e, ok := g.table.Endpoint(id); ok {
+		g.recordGone(crashblame.Process{Endpoint: placement.EndpointHash(id), Start: e.Start}, goneEntry)
+	}
 	g.table.Remove(id)
 	g.serviceVersions.Remove(now, id)
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -92,6 +92,7 @@
 	limit      float64 // requests per second named in the Server-Limit header; 0 for none
 	arrivals   []Arrival
 	extra      string // header lines added to each response
+	takeUp     string // raw response to requests that go on with a stream; empty for the usual one
 	padding    int    // bytes added to the body of each plain response
 	crashPart  string // identifier of the prompt part that crashes the process; empty for none
 	// crashMoment is when crashPart crashes the process.
@@ -279,6 +280,24 @@
 	r.padding = bytes
 }
 
+// SetTakeUpResponse sets the raw response, with ID in place of the request's identifier, to requests that go on with a stream. The
+// connection is closed after it. Empty for the usual response.
+func (r *Replica) SetTakeUpResponse(raw string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.takeUp = raw
+}
+
+// takeUpResponse returns the raw response to a request that goes on with a stream, or "" for the usual one.
+func (r *Replica) takeUpResponse(request *http.Request) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if request.Header.Get("Last-Event-Id") == "" {
+		return ""
+	}
+	return strings.ReplaceAll(r.takeUp, "ID", request.Header.Get("X-Attempt-Id"))
+}
+
 // Arrivals returns the requests for this replica so far, oldest first.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -397,6 +416,10 @@
 	case ForeignResponse:
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
+	if takeUp := r.takeUpResponse(request); takeUp != "" {
+		fmt.Fprint(conn, takeUp)
+		return false
+	}
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
 		r.awaitHead()
 		return r.writeStream(conn, request, statements, fault, delay)
