--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,6 +182,9 @@
 		c.cause = "answer without signature"
 		return attemptFailed, placement.ResultFailed, nil
 	}
+	if c.headSent && !c.isContinuation(response) {
+		return a.leaveContinuation(response)
+	}
 	if c.route.Kind == routing.KindStream && response.StatusCode == http.StatusOK {
 		return a.streamAnswer(response)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,8 @@
 	tried        []string // endpoints that were chosen for an attempt
 	possibleRuns int      // number of endpoints that may have run the request
 	headSent     bool     // whether the head of an answer was sent to the caller
+	mediaType    string   // of a stream whose head was sent; empty if it names none
+	eventBegun   bool     // whether the last attempt broke off inside an event
 	// callerLeft, rejected and truncated say how the request ended: the caller
 	// disconnected, the gateway sent an answer of its own, or the answer was
 	// broken off. At most one is set.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,13 +28,17 @@
 // forwards part of an event.
 func (a *attempt) streamAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	c := a.call
-	s := &eventStream{attempt: a, header: response.Header, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0}
+	s := &eventStream{attempt: a, header: response.Header, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, continues: c.headSent}
 	err := s.copy(response.Body)
 	s.held.close()
 	if err == nil {
 		return attemptAnswered, placement.ResultServed, completedAnswer(response)
 	}
 	c.cause = err.Error()
+	c.eventBegun = c.eventBegun && s.events == 0 || len(s.pending) > 0
+	if errors.Is(err, errNotContinued) {
+		return attemptFailed, placement.ResultFailed, nil
+	}
 	if s.callerWriteFailed {
 		return attemptFailed, placement.ResultCancelled, nil
 	}
@@ -49,6 +53,7 @@
 type eventStream struct {
 	attempt           *attempt
 	header            http.Header
+	continues         bool       // whether the caller has got events of an earlier attempt
 	unframed          bool       // whether only the end of the connection ends the answer
 	pending           []byte     // bytes received after the last complete event
 	held              *heldBytes // memory of an event that is large; nil if none was
@@ -120,6 +125,9 @@
 // writeEvents sends complete events to the caller, after the head if they are the first.
 func (s *eventStream) writeEvents(events []byte) error {
 	c := s.attempt.call
+	if err := s.checkOrder(events); err != nil {
+		return err
+	}
 	s.attempt.gateway.recordStream(c, s.attempt.ticket.Endpoint)
 	c.sendStreamHead(s.attempt.gateway, s.header)
 	now := time.Now()
@@ -155,6 +163,9 @@
 			return errors.Wrapf(io.ErrUnexpectedEOF, "step=read stream peer=%s: ended after %d events without a length", s.attempt.key.Address, s.events)
 		}
 	}
+	if s.continues && s.events == 0 && s.attempt.call.eventBegun {
+		return errors.Wrapf(errNotContinued, "step=read stream peer=%s: ended without the event that had begun", s.attempt.key.Address)
+	}
 	if len(s.pending) == 0 {
 		s.attempt.call.sendStreamHead(s.attempt.gateway, s.header)
 		return nil
@@ -167,7 +178,7 @@
 	if c.headSent {
 		return
 	}
-	c.headSent = true
+	c.headSent, c.mediaType = true, mediaTypeOf(header)
 	c.timeToFirstEvent = time.Since(c.arrived)
 	c.setWriteDeadline(c.deadline.Add(writeMargin))
 	h := c.writer.Header()
