--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -112,14 +112,39 @@
 		p.Discard(key, c)
 		return false
 	}
+	p.giveBack(key, c)
+	return true
+}
+
+// Outlasts reports whether a connection to an endpoint's process, an idle or a new one, stays open for a time. It returns an error as Get
+// does if there is no connection.
+func (p *Pool) Outlasts(ctx context.Context, key Key, limit int, d time.Duration) (bool, error) {
+	c, err := p.Get(ctx, key, limit, false)
+	if err != nil {
+		return false, err
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	if !c.usable() {
+		p.Discard(key, c)
+		return false, nil
+	}
+	p.giveBack(key, c)
+	return true, nil
+}
+
+// giveBack returns a connection on which nothing was exchanged.
+func (p *Pool) giveBack(key Key, c *Conn) {
+	if c.idleUntil.IsZero() {
+		c.idleUntil = time.Now().Add(defaultIdleTime)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.byEndpoint[key]
-	if conns == nil {
-		return true
+	if conns := p.byEndpoint[key]; conns != nil {
+		conns.idle = append(conns.idle, c)
 	}
-	conns.idle = append(conns.idle, c)
-	return true
 }
 
 // pop removes and returns the most recently used idle connection, or nil.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -235,6 +235,9 @@
 	if err == nil {
 		err = body.complete()
 	}
+	if err == nil && isUnframed(response) {
+		err = a.confirmEnd()
+	}
 	if err != nil {
 		body.close()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 // forwards part of an event.
 func (a *attempt) streamAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	c := a.call
-	s := &eventStream{attempt: a, header: response.Header, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, continues: c.headSent}
+	s := &eventStream{attempt: a, header: response.Header, unframed: isUnframed(response), continues: c.headSent}
 	err := s.copy(response.Body)
 	s.held.close()
 	if err == nil {
@@ -149,18 +149,12 @@
 	return nil
 }
 
-// unframedEndWait is how long the end of an unframed stream waits for the loss of other requests at the same
-// endpoint, which tells a crash from an end.
-const unframedEndWait = 50 * time.Millisecond
-
 // finish ends the stream. It returns an error if the body ended inside an event, or if it is unframed and
 // ended without one or by a crash of the endpoint.
 func (s *eventStream) finish() error {
 	if s.unframed && len(s.pending) == 0 {
-		ended := s.attempt.gateway.now()
-		time.Sleep(unframedEndWait) // longer on a busy machine
-		if s.events == 0 || s.attempt.lostSince(ended) {
-			return errors.Wrapf(io.ErrUnexpectedEOF, "step=read stream peer=%s: ended after %d events without a length", s.attempt.key.Address, s.events)
+		if err := s.attempt.confirmEnd(); err != nil || s.events == 0 {
+			return errors.Wrapf(io.ErrUnexpectedEOF, "step=read stream peer=%s: ended after %d events without a length: %v", s.attempt.key.Address, s.events, err)
 		}
 	}
 	if s.continues && s.events == 0 && s.attempt.call.eventBegun {
--- a/internal/standin/replica/answers.go
+++ b/internal/standin/replica/answers.go
@@ -30,6 +30,12 @@
 	case MissingLength:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\nwhole %s", id, signature, id)
 		return false
+	case UnframedCrash, EmptyCrash, UnframedReset:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n", id, signature)
+		if fault != EmptyCrash {
+			fmt.Fprint(conn, "who")
+		}
+		return r.endUnframed(conn, fault)
 	}
 	r.mu.Lock()
 	body := "whole " + id + strings.Repeat("x", r.padding)
@@ -61,7 +67,7 @@
 	}
 	id := request.Header.Get("X-Attempt-Id")
 	framing := "Transfer-Encoding: chunked\r\n"
-	unframed := fault == UnframedStream || fault == EmptyStream || fault == UnframedCut
+	unframed := fault == UnframedStream || fault == EmptyStream || fault == UnframedCut || fault == UnframedCrash || fault == EmptyCrash || fault == UnframedReset
 	if unframed {
 		framing = ""
 	}
@@ -78,6 +84,9 @@
 	for n := lastID + 1; n <= streamEvents; n++ {
 		time.Sleep(delay)
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", n, n, id, version)
+		if fault == EmptyCrash || n == lastID+3 && (fault == UnframedCrash || fault == UnframedReset) {
+			return r.endUnframed(conn, fault)
+		}
 		if unframed {
 			if fault == UnframedCut && n == lastID+3 {
 				event = event[:len(event)/2]
@@ -99,3 +108,12 @@
 	fmt.Fprint(conn, "0\r\n\r\n")
 	return true
 }
+
+// endUnframed ends an answer without a length early: by a reset of its connection, or by a crash of the process. It returns false.
+func (r *Replica) endUnframed(conn net.Conn, fault Fault) bool {
+	if fault == UnframedReset {
+		resetOnClose(conn)
+		return false
+	}
+	return !r.crash()
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -39,6 +39,9 @@
 	UnframedStream    Fault = "unframed-stream" // ends a stream by closing the connection, without length or chunks
 	EmptyStream       Fault = "empty-stream"    // as UnframedStream, before the first event
 	UnframedCut       Fault = "unframed-cut"    // as UnframedStream, in the middle of the third event that it writes
+	UnframedCrash     Fault = "unframed-crash"  // as MissingLength or UnframedStream; crashes after three bytes of the body or two events
+	EmptyCrash        Fault = "empty-crash"     // as UnframedCrash, after the head
+	UnframedReset     Fault = "unframed-reset"  // as UnframedCrash; resets the connection instead
 	RepeatedRefusal   Fault = "refusal-again"   // writes the last refusal on the connection again while it executes a request
 	MalformedResponse Fault = "wrong-reply"     // sends bytes that are not an HTTP response and closes the connection
 )
@@ -162,6 +165,13 @@
 // closeQuietly closes c and ignores the error, as c may be closed already.
 func closeQuietly(c io.Closer) { _ = c.Close() }
 
+// resetOnClose makes the close of a connection send a TCP reset.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // Address returns the listener's IP:PORT.
 func (r *Replica) Address() string { return r.address }
 
@@ -393,10 +403,7 @@
 	}
 	switch fault {
 	case Reset:
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			// With a linger time of zero, closing sends a TCP reset.
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(conn)
 		return false
 	case Hang:
 		// Blocks until the client closes the connection.
