--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -28,6 +28,9 @@
 	}
 	x.events.Head(x.run, uint32(response.StatusCode), endToEndHeaders(response.Header))
 	err = x.copyBody(response.Body)
+	if err == nil && isUnframed(response) {
+		err = x.client.confirmRunning(ctx)
+	}
 	if err != nil {
 		return runEnd{}, err
 	}
