--- a/internal/engine/unframed.go
+++ b/internal/engine/unframed.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "connect to %s after an answer without a length", c.options.Address), errUnframedCut)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	if err := conn.SetReadDeadline(time.Now().Add(unframedEndWait)); err != nil {
 		return errors.Wrapf(err, "read deadline for %s", c.options.Address)
 	}
--- a/internal/standin/replica/answers.go
+++ b/internal/standin/replica/answers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -67,7 +68,7 @@
 	}
 	id := request.Header.Get("X-Attempt-Id")
 	framing := "Transfer-Encoding: chunked\r\n"
-	unframed := fault == UnframedStream || fault == EmptyStream || fault == UnframedCut || fault == UnframedCrash || fault == EmptyCrash || fault == UnframedReset
+	unframed := slices.Contains([]Fault{UnframedStream, EmptyStream, UnframedCut, UnframedCrash, EmptyCrash, UnframedReset}, fault)
 	if unframed {
 		framing = ""
 	}
@@ -87,20 +88,9 @@
 		if fault == EmptyCrash || n == lastID+3 && (fault == UnframedCrash || fault == UnframedReset) {
 			return r.endUnframed(conn, fault)
 		}
-		if unframed {
-			if fault == UnframedCut && n == lastID+3 {
-				event = event[:len(event)/2]
-			}
-			if _, err := io.WriteString(conn, event); err != nil || fault == UnframedCut && n == lastID+3 {
-				return false
-			}
-			continue
-		}
-		if fault == TruncatedStream && n == lastID+3 {
-			fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:len(event)/2])
+		if !writeEvent(conn, event, unframed, n == lastID+3 && (fault == UnframedCut || fault == TruncatedStream)) {
 			return false
 		}
-		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
 	}
 	if unframed {
 		return false
@@ -109,6 +99,20 @@
 	return true
 }
 
+// writeEvent writes an event of a stream, as a chunk unless the stream is unframed, or half of it if it is cut. It returns false if the connection
+// must be closed.
+func writeEvent(conn net.Conn, event string, unframed, cut bool) bool {
+	head, tail := fmt.Sprintf("%x\r\n", len(event)), "\r\n"
+	if unframed {
+		head, tail = "", ""
+	}
+	if cut {
+		event, tail = event[:len(event)/2], ""
+	}
+	_, err := io.WriteString(conn, head+event+tail)
+	return err == nil && !cut
+}
+
 // endUnframed ends an answer without a length early: by a reset of its connection, or by a crash of the process. It returns false.
 func (r *Replica) endUnframed(conn net.Conn, fault Fault) bool {
 	if fault == UnframedReset {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -423,6 +423,11 @@
 	case ForeignResponse:
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother")
 	}
+	return r.writeResponse(conn, request, statements, fault, delay)
+}
+
+// writeResponse writes the response to a request that was executed. It returns false if the connection must be closed.
+func (r *Replica) writeResponse(conn net.Conn, request *http.Request, statements string, fault Fault, delay time.Duration) bool {
 	if takeUp := r.takeUpResponse(request); takeUp != "" {
 		fmt.Fprint(conn, takeUp)
 		return false
@@ -432,7 +437,7 @@
 		return r.writeStream(conn, request, statements, fault, delay)
 	}
 	time.Sleep(delay)
-	return r.writePlain(conn, id, statements, fault)
+	return r.writePlain(conn, request.Header.Get("X-Attempt-Id"), statements, fault)
 }
 
 // refuse writes a refusal of the request with an ID and remembers it for RepeatedRefusal. statements are header lines.
