--- a/internal/placement/lessurgentprefill.go
+++ b/internal/placement/lessurgentprefill.go
@@ -26,8 +26,8 @@
 
 const (
 	// maxBlockedShare is the share of the requests of some urgency that may be blocked
-	// without any effect on less urgent ones.
-	maxBlockedShare = 0.06
+	// without any effect on less urgent ones: before so many are lost, these yield.
+	maxBlockedShare = maxLostShare
 	// yieldingShare is the share of the engines' time that the less urgent prompts together take at least before their limits
 	// fall.
 	yieldingShare = 0.04
--- a/internal/placement/starvation.go
+++ b/internal/placement/starvation.go
@@ -13,15 +13,18 @@
 // that prefill little: all at once, they would take the engines from the urgent ones again.
 
 const (
-	// maxLostShare is the share of the requests of a level that may be lost before less urgent ones stop. A twelfth must not be
-	// lost while these start.
-	maxLostShare = 0.065
+	// promisedLostShare is the share of the requests of a level of which users are promised that no more is lost while less urgent ones
+	// start (TIER).
+	promisedLostShare = 1.0 / 12
+	// maxLostShare is the share of the requests of a level that may be lost before less urgent ones stop: three quarters of what is
+	// promised, as those that have started by then go on.
+	maxLostShare = 0.75 * promisedLostShare
 	// minLost is the least number of lost requests that counts as starvation.
 	minLost = 5.0
 	// smallerShare is the share of the mean size of the starving requests below which a request counts as smaller: single ones
 	// vary around the mean.
 	smallerShare = 0.6
-	// outputTokenSize is the size of a token of an answer, in prompt tokens.
+	// outputTokenSize is the size of a token of an answer, in prompt tokens, by which the promise compares requests.
 	outputTokenSize = 10
 	// sizeWeight is the weight of one request in the mean size of those of its level.
 	sizeWeight = 0.1
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -91,6 +91,25 @@
 			time.Sleep(time.Duration(1000+rng.IntN(500)) * time.Millisecond)
 		}
 	}},
+	{"replica ends in an answer without a length", func(c *cluster, rng *rand.Rand) {
+		r := c.replica(rng)
+		r.SetOutage(replica.Outage{Time: time.Duration(100+rng.IntN(900)) * time.Millisecond, Accepts: rng.IntN(2) == 0})
+		r.SetFault([]replica.Fault{replica.UnframedCrash, replica.EmptyCrash, replica.UnframedReset}[rng.IntN(3)])
+		time.Sleep(time.Duration(100+rng.IntN(200)) * time.Millisecond)
+		r.SetFault(replica.NoFault)
+	}},
+	{"streams break off and continuations are answered by an error", func(c *cluster, rng *rand.Rand) {
+		status := []string{"204 No Content", "400 Bad Request", "404 Not Found", "429 Too Many Requests"}[rng.IntN(4)]
+		c.setFaults(replica.TruncatedStream)
+		for _, r := range c.replicas {
+			r.SetTakeUpResponse("HTTP/1.1 " + status + "\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\nContent-Length: 0\r\n\r\n")
+		}
+		time.Sleep(time.Duration(100+rng.IntN(300)) * time.Millisecond)
+		for _, r := range c.replicas {
+			r.SetTakeUpResponse("")
+		}
+		c.setFaults(replica.NoFault)
+	}},
 	{"replica restarted at random", func(c *cluster, rng *rand.Rand) { c.restartReplica(c.replica(rng), rng) }},
 	{"gateway ended by SIGTERM and started", func(c *cluster, rng *rand.Rand) {
 		g := c.randomGateway(rng)
