--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -185,9 +185,9 @@
 		// An error means that the connection has ended.
 		_ = control.SetReadDeadline(time.Unix(1, 0))
 	})
-	leave := context.AfterFunc(g.callsCtx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	stopWatching := context.AfterFunc(g.callsCtx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	err := c.body.readFrom(c.http.Context(), c.http.Body, c.http.ContentLength, limit)
-	leave()
+	stopWatching()
 	if err == nil {
 		err = c.body.complete()
 	}
--- a/internal/gateway/comeback.go
+++ b/internal/gateway/comeback.go
@@ -48,10 +48,10 @@
 // retryAfter returns the value of Retry-After for a rejected caller. The times of different callers are spread. It has a fraction, although
 // RFC 9110 defines only whole seconds.
 func retryAfter(c *call) string {
-	after := c.retryAfter
 	if c.elsewhere {
 		return formatSeconds(0)
 	}
+	after := c.retryAfter
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -25,7 +25,8 @@
 const causeStopping = "the gateway stops before the request can end"
 
 // stop fails the readiness check, waits until the load balancer has noticed,
-// then closes the listener and waits for the requests in progress.
+// then closes the listener and waits for the requests in progress. It ends those that last
+// until shortly before the process exits.
 func (g *Gateway) stop() error {
 	began := time.Now()
 	exit := began.Add(g.settings.StopGrace - exitMargin)
