--- a/internal/gateway/bodytimeout_test.go
+++ b/internal/gateway/bodytimeout_test.go
@@ -19,7 +19,7 @@
 // Guards against a connection that is kept after the reading of a body has timed out: net/http has cancelled its context,
 // so that later requests on it would end at once.
 func TestConnectionIsClosedAfterBodyTimeout(t *testing.T) {
-	g := &Gateway{closed: &closings{}}
+	g := &Gateway{closed: &closings{}, callsCtx: context.Background()}
 	g.bytes = newByteGuard(memorylimit.Limits{}, func() domain.Instant { return 0 }, g.closed)
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/", iotest.ErrReader(os.ErrDeadlineExceeded))
 	assert.NilError(t, err)
