--- a/internal/gateway/comeback.go
+++ b/internal/gateway/comeback.go
@@ -42,7 +42,9 @@
 		return
 	}
 	waiter := waitqueue.Waiter{Query: query, Class: c.route.Name, Arrived: now, LatestStart: now}
-	c.retryAfter = max(g.queue.ExpectedWait(now, &waiter), g.table.WorkOf(now, query).First)
+	room := max(g.queue.ExpectedWait(now, &waiter), g.table.WorkOf(now, query).First)
+	// A caller has no use for a later time, and an estimate that long is rough.
+	c.retryAfter = max(min(room, g.toInstant(c.callerLimit).Sub(now)), 0)
 }
 
 // retryAfter returns the value of Retry-After for a rejected caller. The times of different callers are spread. It has a fraction, although
