Relay stand-in: a reset is passed on as a reset

Callers got answers without a length that had been cut, as whole ones. The relay between gateway and replica closed the gateway's connection in order when the replica reset its own, so that the end of the answer looked like one while its process went on.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -198,6 +199,10 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.reset()
+			return
+		}
 		if err != nil {
 			p.close()
 			return
