Logs: lines that are written after Close are dropped, also while it still flushes

Cause: Close waits for flushTimeout; after that the sink's goroutine still writes, while the test reads what was written, and a line from after Close could be among it. The class is that of: a test that takes a time limit for the end. Change: Write drops lines once the sink closes, as the test's name says; the test waits for the sink's goroutine before it compares. The check is the same.

--- a/internal/logs/sink.go
+++ b/internal/logs/sink.go
@@ -41,6 +41,11 @@
 // Write queues one line, or drops it when the queue is full. It never blocks and
 // never returns an error.
 func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case <-s.closing:
+		return len(line), nil
+	default:
+	}
 	if s.queued.Add(int64(len(line))) > maxQueuedBytes {
 		s.queued.Add(-int64(len(line)))
 		s.dropped.Add(1)
@@ -56,7 +61,7 @@
 }
 
 // Close writes the queued lines, for flushTimeout at most, and stops the sink. Lines
-// that are written during or after Close may be dropped, as goroutines can outlive
+// that are written during Close may be dropped and later ones are, as goroutines can outlive
 // what they log about.
 func (s *Sink) Close() {
 	close(s.closing)
--- a/internal/logs/sink_test.go
+++ b/internal/logs/sink_test.go
@@ -65,6 +65,7 @@
 	assert.NilError(t, err)
 	close(stop)
 	writers.Wait()
+	<-s.done
 	assert.Assert(t, !strings.Contains(w.written.String(), "after"))
 }
 
