Unframed answers, candidates, stand-in: one copy of each

Cause: read again as a newcomer: the test for an answer without a length and its wait stood in the gateway and in the agents' client, Table.Serves repeated HasCandidate, and the soak wrote a replica's raw response with the platform's header names. Change: endpointconn.IsUnframed and UnframedEndWait serve both, Serves asks HasCandidate, the stand-in writes the response (SetTakeUpStatus). Behaviour, checks and bounds are the same.

--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/wire/pb"
 )
 
@@ -28,7 +29,7 @@
 	}
 	x.events.Head(x.run, uint32(response.StatusCode), endToEndHeaders(response.Header))
 	err = x.copyBody(response.Body)
-	if err == nil && isUnframed(response) {
+	if err == nil && endpointconn.IsUnframed(response) {
 		err = x.client.confirmRunning(ctx)
 	}
 	if err != nil {
--- a/internal/engine/unframed.go
+++ b/internal/engine/unframed.go
@@ -4,24 +4,17 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// unframedEndWait is how long after the end of an unframed answer a connection to the service has to stay open.
-const unframedEndWait = 50 * time.Millisecond
+	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+)
 
 // errUnframedCut means that an answer that only the end of its connection ends was not followed by a sign of life of the service.
 var errUnframedCut = errors.New("the service ended with its answer")
 
-// isUnframed reports whether only the end of the connection ends the body of a response.
-func isUnframed(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
-}
-
 // confirmRunning returns an error unless the service accepts a connection and keeps it: a process that ends closes the connections of its
 // answers as it does at their end.
 func (c *Client) confirmRunning(ctx context.Context) error {
@@ -31,7 +24,7 @@
 		return errors.Mark(errors.Wrapf(err, "connect to %s after an answer without a length", c.options.Address), errUnframedCut)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetReadDeadline(time.Now().Add(unframedEndWait)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(endpointconn.UnframedEndWait)); err != nil {
 		return errors.Wrapf(err, "read deadline for %s", c.options.Address)
 	}
 	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -235,7 +235,7 @@
 	if err == nil {
 		err = body.complete()
 	}
-	if err == nil && isUnframed(response) {
+	if err == nil && endpointconn.IsUnframed(response) {
 		err = a.confirmEnd()
 	}
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 // forwards part of an event.
 func (a *attempt) streamAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	c := a.call
-	s := &eventStream{attempt: a, header: response.Header, unframed: isUnframed(response), continues: c.headSent}
+	s := &eventStream{attempt: a, header: response.Header, unframed: endpointconn.IsUnframed(response), continues: c.headSent}
 	err := s.copy(response.Body)
 	s.held.close()
 	if err == nil {
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,15 +11,6 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 )
 
-// unframedEndWait is how long after the end of an unframed answer another connection to the endpoint has to stay open, and
-// the loss of other requests there is noticed.
-const unframedEndWait = 50 * time.Millisecond
-
-// isUnframed reports whether only the end of the connection ends the body of an answer.
-func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
 // confirmEnd returns an error unless the endpoint's process goes on after the end of an unframed answer: a process that ends closes its
 // connections in the same way.
 func (a *attempt) confirmEnd() error {
@@ -28,9 +18,9 @@
 	ended := g.now()
 	ctx, cancel := context.WithTimeout(a.call.http.Context(), reportTimeout)
 	defer cancel()
-	open, err := g.pool.Outlasts(ctx, a.key, g.connectionLimit(a.call.config, a.ticket.Endpoint.Service), unframedEndWait)
+	open, err := g.pool.Outlasts(ctx, a.key, g.connectionLimit(a.call.config, a.ticket.Endpoint.Service), endpointconn.UnframedEndWait)
 	if errors.Is(err, endpointconn.ErrFull) {
-		time.Sleep(unframedEndWait)
+		time.Sleep(endpointconn.UnframedEndWait)
 	}
 	lost := a.lostSince(ended)
 	klog.InfoS("unframed answer ended", "request", a.call.request.ID, "endpoint", a.ticket.Endpoint.ID, "open", open, "lost", lost, "err", err)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -405,8 +405,7 @@
 
 // Serves reports whether a service has an endpoint at a software version that takes requests.
 func (t *Table) Serves(service string, version streamversions.Version) bool {
-	svc := t.services[service]
-	return svc != nil && slices.ContainsFunc(svc.endpoints, func(s *endpointState) bool { return s.accepts() && s.atVersion(version) })
+	return t.HasCandidate(Query{Service: service, Version: version})
 }
 
 // HasCandidate reports whether a service has an endpoint that takes requests and to which a request was not sent yet.
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -102,7 +102,7 @@
 		status := []string{"204 No Content", "400 Bad Request", "404 Not Found", "429 Too Many Requests"}[rng.IntN(4)]
 		c.setFaults(replica.TruncatedStream)
 		for _, r := range c.replicas {
-			r.SetTakeUpResponse("HTTP/1.1 " + status + "\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\nContent-Length: 0\r\n\r\n")
+			r.SetTakeUpStatus(status)
 		}
 		time.Sleep(time.Duration(100+rng.IntN(300)) * time.Millisecond)
 		for _, r := range c.replicas {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -298,6 +298,12 @@
 	r.takeUp = raw
 }
 
+// SetTakeUpStatus makes the replica answer requests that go on with a stream by a signed response of a status without a body, such as
+// "404 Not Found".
+func (r *Replica) SetTakeUpStatus(status string) {
+	r.SetTakeUpResponse("HTTP/1.1 " + status + "\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\nContent-Length: 0\r\n\r\n")
+}
+
 // takeUpResponse returns the raw response to a request that goes on with a stream, or "" for the usual one.
 func (r *Replica) takeUpResponse(request *http.Request) string {
 	r.mu.Lock()
