--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	registryRead atomic.Bool   // whether the registry has been read at least once
 	registryRole atomic.Uint32 // registryrelay.Role
 
+	tickedAt         domain.Instant // last tick of dispatch; used by it only
+	longestTickDelay atomic.Int64   // time.Duration, of the ticks that logTickDelay has not seen
+
 	mu                 sync.Mutex // guards the fields up to callsEndAt
 	table              *placement.Table
 	retryBudgets       map[string]*retrybudget.Budget
@@ -273,6 +276,7 @@
 		g.expireStreams()
 		g.askHistory()
 		g.logEndedPauses()
+		g.logTickDelay()
 		g.reportSpillover()
 		g.closeOverdue()
 		g.bytes.trim()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,9 @@
 // latencyBuckets are the bounds of the latency histograms: 5 ms to 20 s, doubling.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 
+// shortTimeBuckets are the bounds of the histograms of the gateway's own delays: 1 ms to 4 s, doubling.
+var shortTimeBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+
 // Outcomes of requests, as values of the metric label and the log key.
 const (
 	outcomeAnswered   = "answered"
@@ -44,6 +47,8 @@
 	timeToFirstEvent                                                         tally.Histogram
 	requestTime                                                              tally.Histogram
 	placementWait                                                            tally.Histogram
+	dispatchTime                                                             tally.Histogram // of one try of all queued requests
+	tickDelay                                                                tally.Histogram // by which the periodic work comes late
 	waitingRequests                                                          tally.Gauge
 	config                                                                   tally.Gauge
 	configAge                                                                tally.Gauge
@@ -85,6 +90,8 @@
 		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
 		requestTime:        scope.Histogram("request_seconds", latencyBuckets),
 		placementWait:      scope.Histogram("placement_wait_seconds", latencyBuckets),
+		dispatchTime:       scope.Histogram("queue_dispatch_seconds", shortTimeBuckets),
+		tickDelay:          scope.Histogram("tick_delay_seconds", shortTimeBuckets),
 		waitingRequests:    scope.Gauge("waiting_requests"),
 		config:             scope.Gauge("configuration_version"),
 		configAge:          scope.Gauge("configuration_age_seconds"),
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
@@ -13,6 +15,9 @@
 // dispatchInterval is the time between two attempts to place queued requests.
 const dispatchInterval = 10 * time.Millisecond
 
+// loggedTickDelay is the least delay of dispatch that is logged.
+const loggedTickDelay = 100 * time.Millisecond
+
 // The longest time that callers wait for the next event of a stream, also for its first one: the longest of these (docs/PLATFORM.md).
 const (
 	minStreamPatience = 2 * time.Second
@@ -131,15 +136,13 @@
 			return
 		case <-ticker.C:
 		}
+		g.recordTick()
 		g.mu.Lock()
 		g.tickStandstill()
 		g.logBlamed(g.crashes.Tick(g.now()), "")
 		g.turnAwayQueued(g.now())
 		unheard, checks := g.unheardProcesses(), g.dueCrashChecks()
-		for _, done := range g.queue.Dispatch(g.now(), g.table) {
-			close(g.queuedCalls[done].done)
-			delete(g.queuedCalls, done)
-		}
+		g.dispatchQueued()
 		g.mu.Unlock()
 		g.checkAlive(unheard)
 		g.startCrashChecks(ctx, checks)
@@ -147,3 +150,34 @@
 		g.tellPeers()
 	}
 }
+
+// recordTick records by how much the tick of dispatch comes late, which shows a lack of processor time.
+func (g *Gateway) recordTick() {
+	now := g.now()
+	delay := now.Sub(g.tickedAt) - dispatchInterval
+	if g.tickedAt > 0 && delay >= dispatchInterval {
+		g.instruments.tickDelay.RecordDuration(delay)
+		g.longestTickDelay.Store(max(g.longestTickDelay.Load(), int64(delay)))
+	}
+	g.tickedAt = now
+}
+
+// logTickDelay writes the longest delay of a tick since the last call, if it is long.
+func (g *Gateway) logTickDelay() {
+	if delay := time.Duration(g.longestTickDelay.Swap(0)); delay >= loggedTickDelay {
+		klog.InfoS("periodic work late", "longest", delay)
+	}
+}
+
+// dispatchQueued places queued requests. The caller must hold g.mu.
+func (g *Gateway) dispatchQueued() {
+	began := g.now()
+	if g.queue.Len() == 0 {
+		return
+	}
+	for _, done := range g.queue.Dispatch(began, g.table) {
+		close(g.queuedCalls[done].done)
+		delete(g.queuedCalls, done)
+	}
+	g.instruments.dispatchTime.RecordDuration(g.now().Sub(began))
+}
