--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/policy"
@@ -109,7 +110,11 @@
 			return attemptNotSent, placement.ResultUnreachable
 		}
 	}
-	if reason := a.withdrawn(); reason != "" {
+	reason := a.withdrawn()
+	if hangup.Left(c.http.Context()) {
+		reason = causeCallerLeftBefore
+	}
+	if reason != "" {
 		c.cause = reason
 		if stop() {
 			g.pool.Put(a.key, conn, endpointconn.CompletedAnswer{})
@@ -143,6 +148,7 @@
 // if the connection must not be used again.
 func (a *attempt) exchange() (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	g, c := a.gateway, a.call
+	c.sent = true
 	a.recordSent()
 	a.conn.Carry(c.request.ID)
 	if err := a.conn.Write(a.encodeHead(), c.bodyPieces()); err != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/bootclock"
 	"github.com/dunlinpulley/dunlinpulley/internal/crashblame"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
@@ -62,6 +63,7 @@
 	placementDelay time.Duration     // from arrival to the first placement
 	tried          []string          // endpoints that were chosen for an attempt
 	possibleRuns   int               // number of endpoints that may have run the request
+	sent           bool              // whether a part of the request may have been sent to an endpoint
 	headSent       bool              // whether the head of an answer was sent to the caller
 	mediaType      string            // of a stream whose head was sent; empty if it names none
 	eventBegun     bool              // whether the last attempt broke off inside an event
@@ -92,6 +94,8 @@
 // ServeHTTP handles one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fits := g.callerConns.begin(r)
+	r, stopWatching := hangup.Watch(r)
+	defer stopWatching()
 	c := &call{writer: w, http: r, arrived: time.Now(), request: g.dialect.ReadRequest(r), unread: r.ContentLength != 0}
 	defer c.release()
 	// It also applies to what net/http sends after the answer, which removes it afterwards.
@@ -278,6 +282,12 @@
 	}
 }
 
+// Causes of the end of a request whose caller has left.
+const (
+	causeCallerLeft       = "caller left"
+	causeCallerLeftBefore = "caller left before anything was sent"
+)
+
 // serve sends a request to one endpoint after another until one answers or no
 // further attempt is allowed. It panics with http.ErrAbortHandler to close the
 // connection of a caller that can't get a complete answer.
@@ -323,7 +333,10 @@
 			return
 		}
 		if c.http.Context().Err() != nil {
-			c.cause, c.callerLeft = "caller left", true
+			c.callerLeft = true
+			if c.cause = causeCallerLeft; !c.sent {
+				c.cause = causeCallerLeftBefore
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if ctx.Err() != nil || !g.mayRetry(c, service, end) {
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 )
 
@@ -43,6 +44,11 @@
 func (g *connGuard) guard(s *http.Server) {
 	s.ConnState = g.stateChanged
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*clientConn); ok {
+			if watched, ok := c.Conn.(*hangup.Conn); ok {
+				ctx = hangup.NewContext(ctx, watched)
+			}
+		}
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 }
@@ -250,8 +256,8 @@
 
 // CloseWrite lets net/http end an answer before a request's body is read to its end.
 func (c *clientConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/departures"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/peers"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
@@ -229,7 +230,7 @@
 			}
 			return errors.Wrapf(err, "step=listen address=%s", s.address)
 		}
-		listeners[i] = guardedListener{listener, s.conns}
+		listeners[i] = guardedListener{hangup.Listen(listener), s.conns}
 	}
 	for i, s := range servers {
 		if listeners[i] == nil {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -85,6 +85,7 @@
 	delay      time.Duration
 	heldHeads  chan struct{} // closed when heads of streams are written again; nil while they are
 	executions []Execution
+	inProgress int // requests that are executed and not answered to the end
 	accepted   int
 	born       int64 // Unix time of the process's start in milliseconds
 	conns      map[net.Conn]bool
@@ -328,6 +329,19 @@
 	return append([]Execution(nil), r.executions...)
 }
 
+// InProgress returns the number of requests that are executed and not answered to the end.
+func (r *Replica) InProgress() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inProgress
+}
+
+func (r *Replica) countInProgress(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inProgress += n
+}
+
 // AcceptedConns returns the number of connections accepted so far.
 func (r *Replica) AcceptedConns() int {
 	r.mu.Lock()
@@ -404,6 +418,8 @@
 	refusal := r.refusals[conn]
 	r.executions = append(r.executions, Execution{ID: id, Method: request.Method, Target: request.RequestURI, Body: body, Header: request.Header})
 	r.mu.Unlock()
+	r.countInProgress(1)
+	defer r.countInProgress(-1)
 	if r.crashOnTarget(request, delay) {
 		return false
 	}
