--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -185,5 +185,12 @@
 	_ = c.net.SetReadDeadline(t)
 }
 
-// Abort makes reads and writes in progress fail at once.
-func (c *Conn) Abort() { closeConn(c.net) }
+// Abort makes reads and writes in progress fail at once and resets the connection: after an ordinary close the kernel would still
+// send what it holds, however late.
+func (c *Conn) Abort() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		// An error means that the connection is closed.
+		_ = tcp.SetLinger(0)
+	}
+	closeConn(c.net)
+}
--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -206,3 +207,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, p.open, 1)
 }
+
+// Guards against requests that reach an endpoint after their callers have left: what the kernel holds when a connection is
+// aborted must not be sent, however late the endpoint reads.
+func TestAbortedRequestsAreDelivered(t *testing.T) {
+	aborted, ended := make(chan struct{}), make(chan error, 1)
+	key := serve(t, func(c net.Conn) {
+		<-aborted
+		_, err := io.Copy(io.Discard, c)
+		ended <- err
+	})
+	c, err := NewPool().Get(context.Background(), key, 0, false)
+	assert.NilError(t, err)
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		c.Abort()
+		close(aborted)
+	}()
+	// More than the kernel's buffers hold.
+	assert.Assert(t, c.Write([]byte("POST / HTTP/1.1\r\n\r\n"), [][]byte{make([]byte, 64<<20)}) != nil)
+	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET))
+}
