--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -16,6 +16,7 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/declaration"
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/entry"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 	"github.com/dunlinpulley/dunlinpulley/internal/metrics"
 	"github.com/dunlinpulley/dunlinpulley/internal/operatorapi"
 	"github.com/dunlinpulley/dunlinpulley/internal/platform"
@@ -150,7 +151,7 @@
 	}
 	e.wg.Go(func() { e.loop.run(e.ctx) })
 	e.wg.Go(func() { e.config.loop.run(e.ctx) })
-	e.wg.Go(func() { logServeError("caller API", e.caller.Serve(listeners[0])) })
+	e.wg.Go(func() { logServeError("caller API", e.caller.Serve(hangup.Listen(listeners[0]))) })
 	e.wg.Go(func() { logServeError("operator API", e.admin.Serve(listeners[1])) })
 	e.wg.Go(func() { logServeError("peer links", e.peerLinks.Serve(e.ctx, listeners[2])) })
 	e.wg.Go(e.pollHosts)
--- a/internal/callerapi/answer_test.go
+++ b/internal/callerapi/answer_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -254,3 +255,24 @@
 	assert.Assert(t, hashParts("ab", "c") != hashParts("a", "bc"))
 	assert.Equal(t, first.promptTokens(), uint32(3*tokensPerMessage+maxPrefixBytes/bytesPerToken+1+1+1))
 }
+
+// Guards against calls that go on for callers that have left, as bytes behind the request hide the close.
+func TestCallsGoOnBehindHiddenCloses(t *testing.T) {
+	handler := &manualCallHandler{sinks: make(chan Sink, 1), disconnected: make(chan domain.CallID, 1)}
+	_, server := startServer(t, func(o *Options) { o.CallHandler = handler })
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(conn, "GET /v1/services/tickets/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	assert.NilError(t, err)
+	<-handler.sinks
+	_, err = fmt.Fprint(conn, "\r\n")
+	assert.NilError(t, err)
+	// net/http reads one of the bytes in that time; if it doesn't, it sees the close.
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, conn.Close())
+	select {
+	case <-handler.disconnected:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the call goes on")
+	}
+}
--- a/internal/callerapi/api_test.go
+++ b/internal/callerapi/api_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/entry"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 )
 
 const testKey = "sk-desk"
@@ -77,6 +78,7 @@
 	}
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = NewServer(New(opts))
+	server.Listener = hangup.Listen(server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
 	return handler, server
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -30,6 +30,9 @@
 		return apiErr
 	}
 	queue := x.submit(call)
+	if queue == nil {
+		return nil
+	}
 	defer x.closeQueue(queue)
 	if req.Stream {
 		return x.streamChat(req, queue)
--- a/internal/callerapi/exchange.go
+++ b/internal/callerapi/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/entry"
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 )
 
 const maxIdempotencyKeyBytes = 128
@@ -143,8 +144,11 @@
 	return entry.Call{Request: x.id, Account: x.account, Class: class, Key: key}, nil
 }
 
-// submit assigns an ID to a call and starts it. The outputs go to the returned queue.
+// submit assigns an ID to a call and starts it. The outputs go to the returned queue. It returns nil if the caller has left.
 func (x *exchange) submit(call entry.Call) *outputQueue {
+	if hangup.Left(x.r.Context()) {
+		return nil
+	}
 	call.ID = domain.CallID(x.api.lastCallID.Add(1))
 	queue := newOutputQueue(call)
 	x.api.opts.CallHandler.Submit(call, queue)
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/dunlinpulley/dunlinpulley/internal/hangup"
 )
 
 const (
@@ -27,25 +29,38 @@
 	unacknowledgedTimeout = 30 * time.Second
 )
 
-// NewServer returns an HTTP server for the handler. It sets no read or write
+// NewServer returns an HTTP server for the handler, to serve on listeners of package hangup. It sets no read or write
 // timeout, as streamed answers may take any time; the handler sets deadlines for
 // request bodies and for each write.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           watchCallers(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				enableDeadPeerDetection(tcp)
+			switch conn := conn.(type) {
+			case *hangup.Conn:
+				enableDeadPeerDetection(conn.TCPConn)
+				return hangup.NewContext(ctx, conn)
+			case *net.TCPConn:
+				enableDeadPeerDetection(conn)
 			}
 			return ctx
 		},
 	}
 }
 
+// watchCallers ends the contexts of requests whose callers leave behind unread bytes.
+func watchCallers(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r, stop := hangup.Watch(r)
+		defer stop()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // enableDeadPeerDetection makes the kernel close a connection to an unreachable
 // caller: by TCP keepalive while no data is sent, and by a timeout of
 // acknowledgements while an answer is being sent.
--- a/internal/callerapi/service.go
+++ b/internal/callerapi/service.go
@@ -61,6 +61,9 @@
 	call.Prefix = hashParts(string(x.account), string(x.id))
 	call.Fingerprint = hashParts(call.Method, string(name), call.Path, string(body))
 	queue := x.submit(call)
+	if queue == nil {
+		return nil
+	}
 	defer x.closeQueue(queue)
 	return x.writePlainResponse(queue)
 }
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // watchInterval is the time between two looks at a connection whose close net/http can't see.
@@ -95,21 +93,6 @@
 	c.arm()
 }
 
-// Gone reports whether the client has closed or reset the connection, even if bytes that it sent before are unread.
-func (c *Conn) Gone() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	gone := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		gone = err == nil && n > 0
-	})
-	return gone || err != nil
-}
-
 // Watch returns a request whose context also ends when the client closes the connection behind unread bytes. The handler calls stop when it ends.
 func Watch(r *http.Request) (watched *http.Request, stop func()) {
 	c := FromContext(r.Context())
