--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -169,15 +169,17 @@
 	}
 }
 
-// dispatchQueued places queued requests. The caller must hold g.mu.
+// dispatchQueued places queued requests if that is due. The caller must hold g.mu.
 func (g *Gateway) dispatchQueued() {
 	began := g.now()
-	if g.queue.Len() == 0 {
+	if g.queue.Len() == 0 || !g.queue.Due(began) {
 		return
 	}
 	for _, done := range g.queue.Dispatch(began, g.table) {
 		close(g.queuedCalls[done].done)
 		delete(g.queuedCalls, done)
 	}
-	g.instruments.dispatchTime.RecordDuration(g.now().Sub(began))
+	ended := g.now()
+	g.queue.Worked(began, ended)
+	g.instruments.dispatchTime.RecordDuration(ended.Sub(began))
 }
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -1,5 +1,5 @@
 // Package waitqueue holds the requests of a gateway that no endpoint can start in
-// time yet. The gateway adds and removes them and calls Dispatch periodically,
+// time yet. The gateway adds and removes them and calls Dispatch periodically, when it is Due,
 // which places them in order of urgency and rejects the expired ones. The package
 // has no I/O, clock or goroutine: callers pass the time.
 package waitqueue
@@ -41,8 +41,9 @@
 // Queue holds the queued requests of a process. The zero value is an empty queue.
 // It is not safe for concurrent use.
 type Queue struct {
-	waiters []*Waiter
-	starts  map[string]*startRate // by class
+	waiters    []*Waiter
+	starts     map[string]*startRate // by class
+	restsUntil domain.Instant        // see Due
 }
 
 // Len returns the number of queued requests.
