--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,7 +18,6 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/policy"
-	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
 	"github.com/dunlinpulley/dunlinpulley/internal/routing"
 )
 
@@ -377,40 +376,6 @@
 	g.table.RecordEnd(g.now(), ticket, result)
 }
 
-// retryBudget returns the retry budget of a service. The caller must hold g.mu.
-func (g *Gateway) retryBudget(service string) *retrybudget.Budget {
-	b := g.retryBudgets[service]
-	if b == nil {
-		b = retrybudget.New(0, g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetryExtra)
-		g.retryBudgets[service] = b
-	}
-	return b
-}
-
-// minGateways is the least number of gateways among which the extra retries are
-// divided. A gateway that has just started doesn't know all its peers yet.
-const minGateways = 6
-
-// countRequest counts a request towards the retry budget of its service.
-func (g *Gateway) countRequest(service string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.retryBudget(service).RecordRequest(g.now())
-}
-
-// takeRetry takes a retry from the budget of a service and reports whether one was left.
-func (g *Gateway) takeRetry(service string) bool {
-	// One more may have started a moment ago.
-	gateways := max(g.peers.ProcessCount()+1, minGateways)
-	g.mu.Lock()
-	taken := g.retryBudget(service).TakeRetry(g.now(), gateways)
-	g.mu.Unlock()
-	if taken {
-		g.instruments.retries.Inc(1)
-	}
-	return taken
-}
-
 // mix64 mixes the bits of a value with policy.Mix64, so that similar values give
 // unrelated results.
 func mix64(x uint64) uint64 { return policy.Mix64(x) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 
 	tickedAt         domain.Instant // last tick of dispatch; used by it only
 	longestTickDelay atomic.Int64   // time.Duration, of the ticks that logTickDelay has not seen
+	loggedDivisor    int            // used by logDivision only
 
 	mu                 sync.Mutex // guards the fields up to callsEndAt
 	table              *placement.Table
@@ -133,6 +134,9 @@
 	g.pool.SetLimit(limits.EndpointConns)
 	g.asker = confirmation.NewAsker(s.KeyValidity, rand.Float64())
 	g.peers = peers.NewExchange(s.PeerAddress, s.DataCentre, s.PeerSeeds, g)
+	if s.FirstStart {
+		g.peers.SetFirstStart()
+	}
 	return g
 }
 
@@ -278,6 +282,7 @@
 		g.askHistory()
 		g.logEndedPauses()
 		g.logTickDelay()
+		g.logDivision()
 		g.reportSpillover()
 		g.closeOverdue()
 		g.bytes.trim()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,7 +30,7 @@
 	attemptsByResult  map[placement.Result]tally.Counter
 	rejectedByStatus  map[int]tally.Counter
 	placements        map[placementSeries]tally.Counter // guarded by Gateway.mu
-	retries           tally.Counter
+	retries           map[retrySeries]tally.Counter     // guarded by Gateway.mu
 	// streamsTakenUp and streamsNotTakenUp count requests that take up a stream by whether its
 	// version is known and serves, streamsNotRecorded streams for which there was no room.
 	streamsTakenUp, streamsNotTakenUp, streamsNotRecorded tally.Counter
@@ -44,6 +44,7 @@
 	// or given up, usageCallsFailed its failed calls to the provider, and holderChanges the changes of the lease's holder.
 	usageFixed, usageDelivered, usageMissed, usageCallsFailed, holderChanges tally.Counter
 	leaseHeld                                                                tally.Gauge
+	extraDivisor                                                             tally.Gauge // by which the extra retries are divided; 0 without a share
 	timeToFirstEvent                                                         tally.Histogram
 	requestTime                                                              tally.Histogram
 	placementWait                                                            tally.Histogram
@@ -70,7 +71,7 @@
 		attemptsByResult:   make(map[placement.Result]tally.Counter),
 		rejectedByStatus:   make(map[int]tally.Counter),
 		placements:         make(map[placementSeries]tally.Counter),
-		retries:            scope.Counter("repeats_total"),
+		retries:            make(map[retrySeries]tally.Counter),
 		streamsTakenUp:     scope.Tagged(map[string]string{"result": "allowed"}).Counter("streams_taken_up_total"),
 		streamsNotTakenUp:  scope.Tagged(map[string]string{"result": "refused"}).Counter("streams_taken_up_total"),
 		streamsNotRecorded: scope.Counter("streams_not_recorded_total"),
@@ -87,6 +88,7 @@
 		usageCallsFailed:   scope.Counter("usage_calls_failed_total"),
 		holderChanges:      scope.Counter("lease_holder_changes_total"),
 		leaseHeld:          scope.Gauge("lease_held"),
+		extraDivisor:       scope.Gauge("repeats_extra_divisor"),
 		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
 		requestTime:        scope.Histogram("request_seconds", latencyBuckets),
 		placementWait:      scope.Histogram("placement_wait_seconds", latencyBuckets),
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -256,12 +256,14 @@
 	return e.members.Targets()
 }
 
-// ProcessCount returns the number of processes, this one included, that may be running or
-// were a while ago.
-func (e *Exchange) ProcessCount() int {
+// SetFirstStart records that the whole deployment starts for the first time. It is called before Run.
+func (e *Exchange) SetFirstStart() { e.members.SetFirstStart() }
+
+// Divide returns among how many processes a bound over all of them is divided.
+func (e *Exchange) Divide() Division {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.members.ProcessCount()
+	return e.members.Divide(e.now())
 }
 
 // Ignored returns the number of datagrams that could not be used.
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -66,11 +66,12 @@
 	departed      map[netip.Addr]domain.Instant // when peers were removed
 	isolatedSince domain.Instant                // when most digests had expired; 0 while not isolated
 	relayed       bool                          // see Relayed
+	census        *census
 }
 
 // NewMembers returns the members of a process in a data centre, given by a hash, that knows only its seeds.
 func NewMembers(self netip.Addr, dataCentre uint32, seeds []netip.Addr) *Members {
-	m := &Members{self: self, dataCentre: dataCentre, members: make(map[netip.Addr]*member), departed: make(map[netip.Addr]domain.Instant)}
+	m := &Members{self: self, dataCentre: dataCentre, members: make(map[netip.Addr]*member), departed: make(map[netip.Addr]domain.Instant), census: newCensus(false)}
 	m.SetSeeds(seeds)
 	return m
 }
@@ -130,6 +131,7 @@
 		r.Started = append(r.Started, p.address)
 	}
 	p.incarnation, p.sequence, p.lastHeardAt = message.Incarnation, message.Sequence, now
+	m.census.record(now, p.address)
 	p.format, p.dataCentre, p.toAll = message.Format, message.DataCentre, message.ToAll
 	if message.Own {
 		p.lastDigestAt, p.alive = now, true
@@ -167,6 +169,7 @@
 		p.incarnation, p.sequence = listed.Incarnation, 0
 	}
 	p.presentAt = now
+	m.census.record(now, p.address)
 	return started
 }
 
@@ -281,19 +284,6 @@
 // PeerCount returns the number of peers that may be running.
 func (m *Members) PeerCount() int { return len(m.members) }
 
-// ProcessCount returns the number of processes, this one included, that may be running or
-// were less than departedMemory ago.
-func (m *Members) ProcessCount() int {
-	known := m.Remembered()
-	count := 1 + len(known)
-	for _, seed := range m.seeds {
-		if !slices.Contains(known, seed) {
-			count++
-		}
-	}
-	return count
-}
-
 // Remembered returns the peers that may be running, and those that were removed less than
 // departedMemory ago.
 func (m *Members) Remembered() []netip.Addr {
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -4,7 +4,7 @@
 // Invariant: in any window, all processes together take at most the extra and a ratio of
 // the requests of the window or of the one before it, whichever has more. It holds
 // whenever processes start, end or lose contact, as a process begins with nothing and
-// earns what it may take.
+// earns what it may take, and as the shares of the extra add up to one at most (package peers).
 package retrybudget
 
 import (
@@ -56,10 +56,14 @@
 }
 
 // TakeRetry takes a retry from the balance, and reports whether it held one. The
-// extra retries are divided by the number of processes, or by 1 if that is lower.
+// extra retries are divided by the number of processes. With 0 this one has no share of them.
 func (b *Budget) TakeRetry(now domain.Instant, processes int) bool {
 	b.advance(now)
-	b.refill(now, b.extra/float64(max(processes, 1)))
+	extraShare := 0.0
+	if processes > 0 {
+		extraShare = b.extra / float64(processes)
+	}
+	b.refill(now, extraShare)
 	if b.balance < 1 {
 		return false
 	}
