--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -228,3 +228,20 @@
 	assert.Assert(t, c.Write([]byte("POST / HTTP/1.1\r\n\r\n"), [][]byte{make([]byte, 64<<20)}) != nil)
 	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET))
 }
+
+// Guards against endpoints that do not answer and take all connections: others get theirs.
+func TestHangingEndpointsTakeAllConnections(t *testing.T) {
+	p := NewPool()
+	p.SetLimit(40)
+	hanging, sound := serve(t, func(net.Conn) {}), serve(t, func(net.Conn) {})
+	var err error
+	open := 0
+	for ; err == nil; open++ {
+		_, err = p.Get(context.Background(), hanging, 0, false)
+	}
+	assert.Assert(t, errors.Is(err, ErrFull), "after %d: %v", open, err)
+	for range 5 {
+		_, err = p.Get(context.Background(), sound, 0, false)
+		assert.NilError(t, err)
+	}
+}
--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -21,6 +21,12 @@
 	Start   int64
 }
 
+const (
+	// reservedShare is the part of the connections to all endpoints, a quarter, that is left to those with few of them, and crowdedShare the part, an eighth,
+	// from which on an endpoint has many: one that does not answer must not take all.
+	reservedShare, crowdedShare = 4, 8
+)
+
 // ErrFull means that the limit of connections to an endpoint has been reached.
 var ErrFull = errors.New("no connection left")
 
@@ -171,6 +177,9 @@
 	if p.limit > 0 && p.open >= p.limit {
 		return ErrAllFull
 	}
+	if conns != nil && conns.open >= max(1, p.limit/crowdedShare) && p.limit > 0 && p.open >= p.limit-p.limit/reservedShare {
+		return ErrFull
+	}
 	if conns == nil {
 		conns = &endpointConns{}
 		p.byEndpoint[key] = conns
@@ -243,6 +252,7 @@
 		return
 	}
 	c.SetReadDeadline(time.Time{})
+	c.AccountHeads(nil)
 	c.idleUntil = time.Now().Add(idleTime(answer.Header))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -35,6 +35,7 @@
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 64
 	keepAlivePeriod = 5 * time.Second
+	maxHeadBytes    = 64 << 10 // of an answer
 )
 
 // Options configures a Client. Address and Kind are required. Zero and negative
@@ -125,10 +126,11 @@
 	c := &Client{options: options.withDefaults(), runs: make(map[uint64]context.CancelCauseFunc)}
 	dialer := &net.Dialer{Timeout: c.options.DialTimeout, KeepAlive: keepAlivePeriod}
 	c.pooled = &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
 	}
 	c.unpooled = c.pooled.Clone()
 	c.unpooled.DisableKeepAlives = true
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -31,6 +31,7 @@
 // Limits of replies and connections.
 const (
 	maxReplyBytes   = 64 << 20
+	maxHeadBytes    = 64 << 10
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 16
 )
@@ -64,9 +65,10 @@
 	}
 	dialer := &net.Dialer{Timeout: options.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            dialer.DialContext,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
 	}
 	return &Client{
 		options:   options,
