--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -51,7 +52,8 @@
 type headLimiter struct {
 	net       io.Reader
 	limited   bool
-	remaining int // bytes; applies while limited is set
+	remaining int                          // bytes; applies while limited is set
+	account   func(bytes, lines int) error // see Conn.AccountHeads
 }
 
 // Read implements io.Reader.
@@ -64,6 +66,11 @@
 	}
 	n, err := l.net.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if n > 0 && l.account != nil {
+		if accountErr := l.account(n, bytes.Count(p[:n], []byte{'\n'})); accountErr != nil {
+			return n, accountErr
+		}
+	}
 	return n, err
 }
 
@@ -168,6 +175,9 @@
 	return nil, errors.Wrapf(ErrMismatchedAnswer, "step=read head peer=%s", c.net.RemoteAddr())
 }
 
+// AccountHeads has a function called with the bytes and lines of heads as they arrive; nil for none. An error of it ends the reading of the head.
+func (c *Conn) AccountHeads(account func(bytes, lines int) error) { c.limiter.account = account }
+
 // skip reads the body of an answer to another request and reports whether the connection can be used
 // after it.
 func skip(response *http.Response) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,9 @@
 	key     endpointconn.Key
 	conn    *endpointconn.Conn
 	run     *crashblame.Run // nil before the request is sent
+	// headCost is what the heads of the answer take in memory, and head the memory that was taken for them; nil for an ordinary one.
+	headCost int64
+	head     *heldBytes
 	// endedByPeer is whether the connection was ended from the endpoint's side in the middle of the exchange.
 	endedByPeer bool
 }
@@ -122,7 +125,9 @@
 		}
 		return attemptNotSent, placement.ResultRefused
 	}
+	conn.AccountHeads(a.accountHead)
 	end, result, answer := a.exchange()
+	a.head.close()
 	if stop() && answer != nil {
 		g.pool.Put(a.key, conn, *answer)
 	} else {
@@ -162,6 +167,13 @@
 	if err != nil {
 		c.possibleRuns++
 		c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
+		if errors.Is(err, endpointconn.ErrHeadTooLong) || errors.Is(err, errNoMemory) {
+			a.recordEndless()
+		}
+		if errors.Is(err, errNoMemory) {
+			g.closed.count(refusedAnswer)
+			return attemptFailed, answerRefusedResult(err), nil
+		}
 		// A run begins with the answer: one that the caller gave up before has not, but a lost one may have.
 		if c.http.Context().Err() == nil {
 			g.countRun(c)
@@ -226,6 +238,9 @@
 		return attemptNotRun, placement.ResultUnreachable, nil
 	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes+1)); err != nil || n > maxRefusalBytes {
+		if n > maxRefusalBytes {
+			a.recordEndless()
+		}
 		return attemptNotRun, placement.ResultRefused, nil
 	}
 	return attemptNotRun, placement.ResultRefused, completedAnswer(response)
@@ -251,6 +266,9 @@
 	}
 	if errors.Is(err, errNoMemory) || errors.Is(err, errTooLong) {
 		c.cause = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error()
+		if errors.Is(err, errTooLong) || body.size > memorylimit.SmallBytes {
+			a.recordEndless()
+		}
 		return attemptFailed, answerRefusedResult(err), nil
 	}
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,9 @@
 	if s.callerWriteFailed {
 		return attemptFailed, placement.ResultCancelled, nil
 	}
+	if errors.Is(err, errTooLong) || errors.Is(err, errNoMemory) && len(s.pending) > memorylimit.SmallBytes {
+		a.recordEndless()
+	}
 	if errors.Is(err, errNoMemory) {
 		return attemptFailed, answerRefusedResult(err), nil
 	}
@@ -92,7 +95,7 @@
 	end := bytes.LastIndex(s.pending, eventDelimiter)
 	if end < 0 {
 		if len(s.pending) > maxEventBytes {
-			return errors.Newf("step=read stream peer=%s: event over %d bytes", s.attempt.key.Address, maxEventBytes)
+			return errors.Wrapf(errTooLong, "step=read stream peer=%s: event over %d bytes", s.attempt.key.Address, maxEventBytes)
 		}
 		return s.account()
 	}
--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -15,8 +15,13 @@
 	Bodies Share = iota
 	Answers
 	shareCount
+	// AnswerHeads are a part of Answers with a bound of its own, answerHeadsShare.
+	AnswerHeads
 )
 
+// answerHeadsShare is the part of Answers that heads may take, one half.
+const answerHeadsShare = 2
+
 // phase is what happens to the bytes of a holder.
 type phase uint8
 
@@ -30,6 +35,7 @@
 type Holder struct {
 	Owner             any // the caller's own
 	share             Share
+	isHead            bool // see AnswerHeads
 	urgent            bool
 	phase             phase
 	began, progressed domain.Instant // began is the begin of the transfer that goes on
@@ -78,6 +84,7 @@
 	limits  Limits
 	used    [shareCount]int64
 	freeing [shareCount]int64 // held by holders that are shed
+	heads   int64             // used by AnswerHeads
 	holders map[*Holder]struct{}
 	waiting []*Holder // answers before bodies, each in the order of their wishes
 }
@@ -96,6 +103,9 @@
 // Open adds a holder without bytes, whose bytes begin to arrive.
 func (b *Budget) Open(now domain.Instant, s Share, urgent bool) *Holder {
 	h := &Holder{share: s, urgent: urgent, began: now, progressed: now}
+	if s == AnswerHeads {
+		h.share, h.isHead = Answers, true
+	}
 	b.holders[h] = struct{}{}
 	return h
 }
@@ -103,7 +113,7 @@
 // Take asks for bytes, as the transfer of a holder has made progress. While it waits, the holder may not ask again.
 func (b *Budget) Take(now domain.Instant, h *Holder, n int64) (Outcome, Changes) {
 	var changes Changes
-	if h.shed {
+	if h.shed || h.isHead && b.limits.Answers > 0 && b.heads+n > b.limits.Answers/answerHeadsShare {
 		return Refused, changes
 	}
 	h.moved, h.progressed = h.held, now
@@ -172,6 +182,9 @@
 func (b *Budget) Return(now domain.Instant, h *Holder, n int64) Changes {
 	b.used[h.share] -= n
 	h.held -= n
+	if h.isHead {
+		b.heads -= n
+	}
 	if h.shed {
 		b.freeing[h.share] -= n
 	}
@@ -227,6 +240,9 @@
 	h.progressed = now
 	h.held += n
 	b.used[h.share] += n
+	if h.isHead {
+		b.heads += n
+	}
 }
 
 // sum returns the bytes of all shares.
@@ -251,6 +267,9 @@
 func (b *Budget) excess(h *Holder, n int64, used [shareCount]int64) (ofShare, ofTotal int64) {
 	reserved := b.reserved(h, n)
 	limit, shareReserved := b.limits.Answers, int64(0)
+	if h.share == Answers && !h.urgent && h.held+n > SmallBytes {
+		shareReserved = b.limits.ReservedAnswers
+	}
 	if h.share == Bodies {
 		limit, shareReserved = b.limits.Bodies, reserved
 	}
--- a/internal/memorylimit/limits.go
+++ b/internal/memorylimit/limits.go
@@ -10,11 +10,11 @@
 const (
 	bytesShare  = 0.32 // request bodies and buffered answers together
 	bodiesShare = 0.28
-	// answersShare is 16.8 MiB on the smallest host, so that one answer of the largest size, 16 MiB, fits.
-	answersShare = 0.15
+	// answersShare is 19 MiB on the smallest host, so that one answer of the largest size, 16 MiB, fits without the reserved part.
+	answersShare = 0.17
 	headsShare   = 0.06
 	connsShare   = 0.15
-	// reservedShare of the bytes is for urgent requests and small bodies only.
+	// reservedShare of the bytes is for urgent requests and small bodies only, and that of the answers for such answers.
 	reservedShare = 1.0 / 8
 )
 
@@ -53,6 +53,7 @@
 type Limits struct {
 	Bytes, Bodies, Answers int64 // bytes of bodies and answers together, and of each
 	Reserved               int64 // part of Bytes and Bodies for urgent requests and small bodies
+	ReservedAnswers        int64 // part of Answers for urgent requests and small answers
 	Conns                  ConnLimits
 	EndpointConns          int // connections to endpoints
 }
@@ -75,7 +76,7 @@
 	if memoryBytes > 0 {
 		part := func(share float64) int64 { return int64(float64(memoryBytes) * share) }
 		l.Bytes, l.Bodies, l.Answers = part(bytesShare), part(bodiesShare), part(answersShare)
-		l.Reserved = int64(float64(l.Bodies) * reservedShare)
+		l.Reserved, l.ReservedAnswers = int64(float64(l.Bodies)*reservedShare), int64(float64(l.Answers)*reservedShare)
 		l.Conns = ConnLimits{Conns: max(minConns, int(part(connsShare)/connBytes)), Heads: part(headsShare)}
 	}
 	if descriptors > 0 {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -79,6 +79,7 @@
 	outstandingSince domain.Instant // start of the current period with requests in progress
 	failureRate      float64        // moving average of failed requests, 0 to 1
 	avoidUntil       domain.Instant // not used before this time unless no other endpoint is left
+	endless          int            // answers without end in a row; see RecordEndless
 
 	parts prefixindex.Index // prompt parts in the engine's cache
 }
--- a/internal/placement/feedback.go
+++ b/internal/placement/feedback.go
@@ -105,6 +105,9 @@
 		t.service(s.Service).prefillCeiling.observeLost(now, ticket.rank)
 	}
 	s.pause.failed(ticket)
+	if result == ResultServed {
+		s.endless = 0
+	}
 	failed := 0.0
 	switch result {
 	case ResultServed:
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	MissingSignature  Fault = "unsigned"        // omits the replica's signature, the X-Replica-Seal header, of a plain response
 	Hang              Fault = "hang"            // executes the request and never responds
 	EndlessHead       Fault = "endless-head"    // sends header lines until the client closes the connection
+	StalledHead       Fault = "stalled-head"    // sends a head of 60 KB in lines of a few bytes and stops before its end
 	EndlessBody       Fault = "endless-body"    // sends a plain body until the client closes the connection
 	EndlessRefusal    Fault = "endless-not-run" // NotRun, with a body as of EndlessBody
 	UnframedStream    Fault = "unframed-stream" // ends a stream by closing the connection, without length or chunks
@@ -434,6 +436,10 @@
 	case EndlessHead:
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n")
 		return writeEndless(conn, "X-Filler: "+strings.Repeat("x", endlessPiece)+"\r\n")
+	case StalledHead:
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+shortFields(60_000))
+		_, _ = io.Copy(io.Discard, conn)
+		return false
 	case EndlessBody:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.ID)
 		return writeEndless(conn, endlessChunk)
@@ -471,6 +477,15 @@
 	fmt.Fprint(conn, refusal)
 }
 
+// shortFields returns header lines of different names, of a few bytes each, up to a size in bytes.
+func shortFields(size int) string {
+	var b strings.Builder
+	for n := 0; b.Len() < size; n++ {
+		b.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
+	}
+	return b.String()
+}
+
 // endlessPiece is the size in bytes of the pieces that are sent without end.
 const endlessPiece = 16 << 10
 
