--- a/internal/endpointconn/conn.go
+++ b/internal/endpointconn/conn.go
@@ -54,6 +54,7 @@
 	limited   bool
 	remaining int                          // bytes; applies while limited is set
 	account   func(bytes, lines int) error // see Conn.AccountHeads
+	failed    error                        // why it has ended the reading of a head; nil if it hasn't
 }
 
 // Read implements io.Reader.
@@ -62,13 +63,14 @@
 		return l.net.Read(p)
 	}
 	if l.remaining <= 0 {
-		return 0, ErrHeadTooLong
+		l.failed = ErrHeadTooLong
+		return 0, l.failed
 	}
 	n, err := l.net.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
 	if n > 0 && l.account != nil {
-		if accountErr := l.account(n, bytes.Count(p[:n], []byte{'\n'})); accountErr != nil {
-			return n, accountErr
+		if l.failed = l.account(n, bytes.Count(p[:n], []byte{'\n'})); l.failed != nil {
+			return n, l.failed
 		}
 	}
 	return n, err
@@ -159,6 +161,10 @@
 		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
 		c.limiter.limited = false
+		if c.limiter.failed != nil {
+			// The parser takes it for the end of a line.
+			err = c.limiter.failed
+		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "step=read head peer=%s", c.net.RemoteAddr())
 		}
--- a/internal/endpointconn/conn_test.go
+++ b/internal/endpointconn/conn_test.go
@@ -105,6 +105,31 @@
 	}
 }
 
+// Guards against heads that are given up for their length or memory and taken for malformed ones.
+func TestGivenUpHeadsAreNotMalformed(t *testing.T) {
+	refused := errors.New("refused")
+	for _, account := range []func(int, int) error{nil, func(int, int) error { return refused }} {
+		key := serve(t, func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+			for n := 0; ; n++ {
+				if _, err := fmt.Fprintf(c, "x-%d:\r\n", n); err != nil {
+					return
+				}
+			}
+		})
+		conn, err := NewPool().Get(context.Background(), key, 0, false)
+		assert.NilError(t, err)
+		defer conn.Abort()
+		conn.AccountHeads(account)
+		_, err = conn.ReadHead(http.MethodGet, matchesRequest) //nolint:bodyclose // there is none
+		want := ErrHeadTooLong
+		if account != nil {
+			want = refused
+		}
+		assert.Assert(t, errors.Is(err, want), "%v", err)
+	}
+}
+
 // A connection is not reused if data arrives on it while it is idle or the
 // endpoint closes it.
 func TestIdleConnectionsAreCheckedBeforeUse(t *testing.T) {
