--- a/internal/peers/census.go
+++ b/internal/peers/census.go
@@ -11,11 +11,11 @@
 // cut off sees few others, and one that has started there knows of no others.
 //
 // Invariant: the shares of all processes add up to one at most. Only processes that hear from most of those they count have a share. Two parts
-// of a cut can't both do so, as a process that hears from few keeps counting the others. A process that has started counts after censusSettleTime, unless
-// the whole deployment starts for the first time: others hear of it by then, and it of them, if no cut lasts longer.
+// of a cut can't both do so, as a process that hears from few keeps counting the others. A process that has started has a share after censusSettleTime only,
+// unless the whole deployment starts for the first time: others hear of it by then, and it of them, if no cut lasts longer.
 
 const (
-	// censusSettleTime is how long a process runs until it counts itself among those that know all others.
+	// censusSettleTime is how long a process runs until it is expected to know all others.
 	censusSettleTime = time.Minute
 	// goneMemory is how long a process that is not heard from is counted by those that hear from most, and cutMemory by the others.
 	goneMemory, cutMemory = time.Minute, time.Hour
