--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -165,20 +165,7 @@
 	// that isn't read to its end is discarded instead.
 	response, err := a.conn.ReadHead(c.http.Method, matches) //nolint:bodyclose // see above
 	if err != nil {
-		c.possibleRuns++
-		c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
-		if errors.Is(err, endpointconn.ErrHeadTooLong) || errors.Is(err, errNoMemory) {
-			a.recordEndless()
-		}
-		if errors.Is(err, errNoMemory) {
-			g.closed.count(refusedAnswer)
-			return attemptFailed, answerRefusedResult(err), nil
-		}
-		// A run begins with the answer: one that the caller gave up before has not, but a lost one may have.
-		if c.http.Context().Err() == nil {
-			g.countRun(c)
-		}
-		return attemptFailed, a.readFailureResult(), nil
+		return a.failHead(err)
 	}
 	answer := g.dialect.ReadAnswer(response.StatusCode, response.Header)
 	if answer.ReportedLoad != nil {
@@ -208,6 +195,26 @@
 	return a.bufferAnswer(response)
 }
 
+// failHead ends an attempt of which no head of an answer could be read.
+func (a *attempt) failHead(err error) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
+	g, c := a.gateway, a.call
+	c.possibleRuns++
+	c.cause, a.endedByPeer = err.Error(), endedByPeer(err)
+	// A run begins with the answer: one that the caller gave up before has not, but a lost one may have.
+	if c.http.Context().Err() == nil {
+		g.countRun(c)
+	}
+	noMemory := errors.Is(err, errNoMemory)
+	if noMemory || errors.Is(err, endpointconn.ErrHeadTooLong) {
+		a.recordEndless()
+	}
+	if noMemory {
+		g.closed.count(refusedAnswer)
+		return attemptFailed, answerRefusedResult(err), nil
+	}
+	return attemptFailed, a.readFailureResult(), nil
+}
+
 // readFailureResult returns the result of an attempt whose answer could not be
 // read: ResultTimedOut if the deadline has passed, otherwise ResultUnreachable.
 func (a *attempt) readFailureResult() placement.Result {
