--- a/internal/peers/census.go
+++ b/internal/peers/census.go
@@ -10,15 +10,16 @@
 // A bound over all processes, such as the extra of the retry budget, is divided by their number. No process knows it for certain: one that is
 // cut off sees few others, and one that has started there knows of no others.
 //
-// Invariant: the shares of all processes add up to one at most. Only processes that hear from most of those they count have a share. Two parts
-// of a cut can't both do so, as a process that hears from few keeps counting the others. A process that has started has a share after censusSettleTime only,
-// unless the whole deployment starts for the first time: others hear of it by then, and it of them, if no cut lasts longer.
+// Invariant: the shares of all processes add up to one at most, while no cut and no series of cuts lasts longer than countedMemory, and no process
+// starts in a cut that outlasts settleAfterStart from then on. A process has a share only while it hears from more than half of those it counts. All count
+// the same ones, as none is forgotten in that time, so that only one part of a cut has shares. If a process that is not heard from were forgotten
+// sooner, the rest could be cut again, and both a half of the rest and the others could hear from most of those that they count.
 
 const (
-	// censusSettleTime is how long a process runs until it is expected to know all others.
-	censusSettleTime = time.Minute
-	// goneMemory is how long a process that is not heard from is counted by those that hear from most, and cutMemory by the others.
-	goneMemory, cutMemory = time.Minute, time.Hour
+	// settleAfterStart is how long a process that starts later than its deployment runs until it is expected to know all others.
+	settleAfterStart = time.Minute
+	// countedMemory is how long a process that is not heard from is counted.
+	countedMemory = time.Hour
 	// maxCounted bounds the processes counted. With more of them there is no share.
 	maxCounted = 4 * maxMembers
 )
@@ -33,7 +34,7 @@
 func newCensus(first bool) *census {
 	c := &census{heard: make(map[netip.Addr]domain.Instant)}
 	if !first {
-		c.settledAt = domain.Instant(0).Add(censusSettleTime)
+		c.settledAt = domain.Instant(0).Add(settleAfterStart)
 	}
 	return c
 }
@@ -45,38 +46,36 @@
 	}
 }
 
-// Division is among how many processes a bound over all of them is divided. Share is whether this one has a share.
+// Division is among how many processes a bound over all of them is divided.
 type Division struct {
+	// Processes is the number of processes, and Heard the number of those that run, as far as is known. Both include this one.
 	Processes, Heard int
-	Share            bool
+	// Share is whether this process has a share.
+	Share bool
 }
 
 // divide counts the processes, of which some may be known as seeds only.
 func (c *census) divide(now domain.Instant, seeds []netip.Addr) Division {
-	d := Division{Processes: 1 + len(c.heard), Heard: 1}
-	for _, seed := range seeds {
-		if _, known := c.heard[seed]; !known {
-			d.Processes++
+	d := Division{Processes: 1, Heard: 1}
+	for address, at := range c.heard {
+		age := now.Sub(at)
+		if age > countedMemory {
+			delete(c.heard, address)
+			continue
 		}
-	}
-	for _, at := range c.heard {
-		if now.Sub(at) <= presentMaxAge {
+		d.Processes++
+		if age <= presentMaxAge {
 			d.Heard++
 		}
 	}
-	hearsMost := 2*d.Heard > d.Processes
-	memory := cutMemory
-	if hearsMost {
-		memory = goneMemory
-	}
-	for address, at := range c.heard {
-		if now.Sub(at) > memory {
-			delete(c.heard, address)
+	for _, seed := range seeds {
+		if _, known := c.heard[seed]; !known {
+			d.Processes++
 		}
 	}
 	// Without seeds no other process can be found.
 	alone := len(seeds) == 0 && len(c.heard) == 0
-	d.Share = hearsMost && len(c.heard) < maxCounted && (alone || now >= c.settledAt)
+	d.Share = 2*d.Heard > d.Processes && len(c.heard) < maxCounted && (alone || now >= c.settledAt)
 	return d
 }
 
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -217,15 +217,14 @@
 		record(m, instant(0), addr(2+i), 1, 1, nil)
 	}
 	now := instant(0)
-	for ; now < instant(0).Add(2*goneMemory); now = now.Add(time.Second) {
+	for ; now < instant(0).Add(2*departedMemory); now = now.Add(time.Second) {
 		m.Expire(now, digestMaxAge)
 		d := m.Divide(now)
 		assert.Equal(t, d.Processes, 1+peerCount+1, "at %s", time.Duration(now))
 		assert.Assert(t, !d.Share, "at %s: a process that hears from none has a share", time.Duration(now))
 	}
 	assert.Equal(t, m.PeerCount(), 0)
-	m.Divide(instant(0).Add(cutMemory + time.Second))
-	assert.Equal(t, m.Divide(instant(0).Add(cutMemory+time.Second)).Processes, 1+2, "only the seeds are left")
+	assert.Equal(t, m.Divide(instant(0).Add(countedMemory+time.Second)).Processes, 1+2, "only the seeds are left")
 }
 
 // isolated is time for the digests of isolated peers to expire.
