--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -258,7 +258,10 @@
 func (a *attempt) bufferAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	g, c := a.gateway, a.call
 	body := g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
-	err := body.readFrom(c.http.Context(), response.Body, response.ContentLength, maxAnswerBytes)
+	err := errTooLong
+	if response.ContentLength <= maxAnswerBytes {
+		err = body.readFrom(c.http.Context(), response.Body, response.ContentLength, maxAnswerBytes)
+	}
 	if err == nil {
 		err = body.complete()
 	}
@@ -273,7 +276,8 @@
 	}
 	if errors.Is(err, errNoMemory) || errors.Is(err, errTooLong) {
 		c.cause = errors.Wrapf(err, "step=read answer peer=%s", a.key.Address).Error()
-		if errors.Is(err, errTooLong) || body.size > memorylimit.SmallBytes {
+		// An answer that says where it ends, or is small, was refused for lack of the gateway's own memory only.
+		if errors.Is(err, errTooLong) || response.ContentLength < 0 && body.size > memorylimit.SmallBytes {
 			a.recordEndless()
 		}
 		return attemptFailed, answerRefusedResult(err), nil
