--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -56,12 +56,12 @@
 	defer response.Body.Close()
 	for _, status := range append(expected, http.StatusOK) {
 		if response.StatusCode == status {
-			err := json.NewDecoder(response.Body).Decode(&out)
+			err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&out)
 			return out, errors.Wrapf(err, "step=reply peer=%s", c.server)
 		}
 	}
 	var errorReply operatorapi.ErrorReply
-	if err := json.NewDecoder(response.Body).Decode(&errorReply); err != nil || errorReply.Error == "" {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&errorReply); err != nil || errorReply.Error == "" {
 		errorReply.Error = response.Status
 	}
 	return out, &rejection{status: response.StatusCode, message: errorReply.Error}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -35,11 +35,15 @@
 // unknown or not reached.
 const requestTimeout = 30 * time.Second
 
+// maxHeadBytes and maxReplyBytes limit the head and the body of a reply. The largest body has the documents of the whole
+// deployment, as a reply of the platform to an entry does.
+const maxHeadBytes, maxReplyBytes = 64 << 10, 64 << 20
+
 // New returns a program with the dependencies for production.
 func New(version string) *Program {
 	return &Program{
 		Version:   version,
-		Client:    &http.Client{Timeout: requestTimeout},
+		Client:    &http.Client{Timeout: requestTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes}},
 		Sleep:     time.Sleep,
 		NewChange: uuid.NewString,
 		Random:    rand.Reader,
--- a/internal/load/destination.go
+++ b/internal/load/destination.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -111,7 +112,7 @@
 	}
 	defer response.Body.Close()
 	var report engine.Load
-	err = json.NewDecoder(response.Body).Decode(&report)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&report)
 	if err != nil {
 		return
 	}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -86,7 +86,7 @@
 		}
 		defer response.Body.Close()
 		if response.StatusCode != http.StatusOK {
-			text, _ := io.ReadAll(response.Body)
+			text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 			return errors.Newf("step=operate peer=%s status=%d %s", url, response.StatusCode, text)
 		}
 		return nil
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -19,6 +19,9 @@
 // maxIdleConns is the maximum number of idle connections kept to each address.
 const maxIdleConns = 512
 
+// maxHeadBytes limits the head of an answer, and maxErrorBytes the body of an error or a report. Answers are discarded as they arrive.
+const maxHeadBytes, maxErrorBytes = 64 << 10, 1 << 20
+
 // destination is what calls are sent to: the entries or, for a baseline, the
 // endpoints. It chooses the URL of each call and sets its headers.
 type destination interface {
@@ -40,7 +43,7 @@
 }
 
 func newSender(d destination, seed uint64) *sender {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
 	return &sender{destination: d, client: &http.Client{Transport: transport}, seed: seed}
 }
 
@@ -127,7 +130,7 @@
 // unchanged if no header names it.
 func (s *sender) readError(response *http.Response, r *result) {
 	var body errorBody
-	err := json.NewDecoder(response.Body).Decode(&body)
+	err := json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
 	if err == nil {
 		r.code = body.Error.Code
 	}
