--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -20,6 +20,7 @@
 var replicaFaults = []replica.Fault{
 	replica.NotRun, replica.Reset, replica.Error, replica.TruncatedStream, replica.ExtraResponse, replica.ForeignResponse,
 	replica.MissingLength, replica.MissingSignature, replica.Hang, replica.MalformedResponse,
+	replica.StalledHead, replica.EndlessHead, replica.EndlessBody, replica.EndlessRefusal,
 }
 
 // leavings are the kinds of responses in which a replica can say that it leaves.
