--- a/internal/soak/callersleave_test.go
+++ b/internal/soak/callersleave_test.go
@@ -25,6 +25,25 @@
 	leaverPrefix = "left-"
 )
 
+// leaversAtOnce is the number of callers that leave while a gateway is suspended.
+const leaversAtOnce = 60
+
+// suspendWhileCallersLeave suspends a gateway while many callers send it requests and leave.
+func suspendWhileCallersLeave(c *cluster, rng *rand.Rand) {
+	g := c.randomGateway(rng)
+	c.suspend(g)
+	var group sync.WaitGroup
+	for range leaversAtOnce {
+		seed := rng.Uint64()
+		group.Go(func() {
+			c.leavers.leave(rand.New(rand.NewPCG(seed, 0)), g, fmt.Sprintf("%s%x", leaverPrefix, seed))
+		})
+	}
+	group.Wait()
+	time.Sleep(leftGrace)
+	c.resume(g)
+}
+
 // leavers are callers that send a request, at times more bytes behind it, and close or reset their connection.
 type leavers struct {
 	wg   sync.WaitGroup
@@ -33,24 +52,24 @@
 }
 
 // startLeavers starts callers that leave until the context ends.
-func startLeavers(ctx context.Context, c *cluster, seed uint64) *leavers {
+func startLeavers(ctx context.Context, c *cluster, seed uint64) {
 	s := &leavers{left: make(map[string]time.Time)}
+	c.leavers = s
 	for i := range leaverCount {
 		s.wg.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
-				s.leave(c, rng, fmt.Sprintf("%s%d-%d", leaverPrefix, i, n))
+				s.leave(rng, c.gateways[rng.IntN(len(c.gateways))], fmt.Sprintf("%s%d-%d", leaverPrefix, i, n))
 				sleep(ctx, time.Duration(rng.IntN(100))*time.Millisecond)
 			}
 		})
 	}
-	return s
 }
 
-// leave sends a request, to a gateway that may be suspended, and leaves.
-func (s *leavers) leave(c *cluster, rng *rand.Rand, id string) {
+// leave sends a request to a gateway, which may be suspended, and leaves.
+func (s *leavers) leave(rng *rand.Rand, g *process, id string) {
 	path, delay := requestPaths[rng.IntN(len(requestPaths))], time.Duration(rng.Int64N(int64(maxLeaveDelay)))
-	conn, err := net.DialTimeout("tcp4", c.gateways[rng.IntN(len(c.gateways))].front, time.Second)
+	conn, err := net.DialTimeout("tcp4", g.front, time.Second)
 	if err != nil {
 		return
 	}
@@ -77,7 +96,8 @@
 
 // checkLeavers checks that no more than a few requests have reached replicas later than leftGrace after their callers had left, but for those that the
 // network held back. Gateways that stood still meanwhile are not excused: request and close have reached them together.
-func (c *cluster) checkLeavers(s *leavers) {
+func (c *cluster) checkLeavers() {
+	s := c.leavers
 	s.wg.Wait()
 	late := 0
 	for i, r := range c.replicas {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -58,6 +58,8 @@
 	// restarted has, for each replica, the instants of its starts after the first.
 	restarted []*intervals
 
+	leavers *leavers
+
 	mixed bool // whether replicas have several software versions
 
 	mu               sync.Mutex
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -109,6 +109,7 @@
 	{"gateway suspended", func(c *cluster, rng *rand.Rand) {
 		c.suspend(c.randomGateway(rng))
 	}},
+	{"gateway suspended while callers leave", suspendWhileCallersLeave},
 	{"gateway resumed", func(c *cluster, rng *rand.Rand) { c.resume(c.randomGateway(rng)) }},
 	{"settings reloaded by SIGHUP", func(c *cluster, rng *rand.Rand) { _ = c.randomGateway(rng).cmd.Process.Signal(syscall.SIGHUP) }},
 	{"network drops open connections' data", func(c *cluster, rng *rand.Rand) { c.randomRelay(rng).DropBoth() }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), *faultDuration)
 	defer cancel()
 	callers := startCallers(ctx, c, rng.Uint64())
-	leaving := startLeavers(ctx, c, seed)
+	startLeavers(ctx, c, seed)
 	if rng.IntN(2) == 0 {
 		// Limits that are set later seldom last long enough.
 		c.setLimit(0, 0.5+4*rng.Float64())
@@ -90,7 +90,7 @@
 	}
 	c.clearFaults()
 	calls := callers.wait()
-	c.checkLeavers(leaving)
+	c.checkLeavers()
 	c.checkCalls(calls)
 	c.checkLimits(calls)
 	c.checkRetries(calls)
