--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -8,10 +8,6 @@
 	"github.com/dunlinpulley/dunlinpulley/internal/retrybudget"
 )
 
-// minGateways is the least number of gateways among which the extra retries are
-// divided. One that has just started isn't known to all others yet.
-const minGateways = 6
-
 // retryBudget returns the retry budget of a service. The caller must hold g.mu.
 func (g *Gateway) retryBudget(service string) *retrybudget.Budget {
 	b := g.retryBudgets[service]
@@ -44,8 +40,7 @@
 	if !d.Share {
 		return 0
 	}
-	// One more may have started a moment ago.
-	return max(d.Processes+1, minGateways)
+	return d.Processes
 }
 
 // logDivision writes a change of the number by which the extra retries are divided. Only sweep calls it.
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -19,7 +19,8 @@
 	modelRatio  = 0.2
 	modelExtra  = 246.0
 	modelStep   = 500 * time.Millisecond
-	modelLead   = 14 * time.Second // from the first start to the first request
+	// modelListInterval is the interval, in messages, at which a gateway lists the others that it hears, after modelFirstLists.
+	modelListInterval, modelFirstLists = 8, 4
 )
 
 // modelGateway is one host with the gateway that runs there.
@@ -36,20 +37,20 @@
 type modelDeployment struct {
 	now               domain.Instant
 	gateways          []*modelGateway
+	byAddress         map[netip.Addr]*modelGateway
 	requests, retries []domain.Instant
 }
 
 func newModelDeployment(n int) *modelDeployment {
-	d := &modelDeployment{now: 1}
+	d := &modelDeployment{now: 1, byAddress: make(map[netip.Addr]*modelGateway)}
 	for i := range n {
-		d.gateways = append(d.gateways, &modelGateway{address: netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)})})
+		g := &modelGateway{address: netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)})}
+		d.gateways = append(d.gateways, g)
+		d.byAddress[g.address] = g
 	}
 	for _, g := range d.gateways {
 		d.start(g, true)
 	}
-	for d.now < domain.Instant(modelLead) {
-		d.step(0, false)
-	}
 	return d
 }
 
@@ -66,14 +67,18 @@
 	}
 }
 
-// step lets all gateways of a part tell each other their states, then get requests and take all retries that they may.
+// step lets the gateways tell those of their part that they know their states and, at times, whom they hear, then get requests and take all retries
+// that they may.
 func (d *modelDeployment) step(requests int, retry bool) {
 	d.now = d.now.Add(modelStep)
 	for _, from := range d.gateways {
 		from.sequence++
-		message := peers.Message{From: from.address, Incarnation: from.incarnation, Sequence: from.sequence, Format: 1, DataCentre: 1, Own: true}
-		for _, to := range d.gateways {
-			if to != from && to.part == from.part {
+		message := peers.Message{From: from.address, Incarnation: from.incarnation, Sequence: from.sequence, Format: 1, DataCentre: 1, Own: true, Present: true}
+		if from.sequence <= modelFirstLists || from.sequence%modelListInterval == 0 {
+			message.Listed = from.members.List(from.members.Alive(d.now))
+		}
+		for _, address := range from.members.Targets() {
+			if to := d.byAddress[address]; to != from && to.part == from.part {
 				to.members.Record(d.now, message)
 			}
 		}
@@ -116,6 +121,10 @@
 func TestExtraIsTakenOftenerThanOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := newModelDeployment(rapid.SampledFrom([]int{1, 3, 5, 36}).Draw(t, "gateways"))
+		for range modelFirstLists {
+			d.step(2, true)
+			d.check(t)
+		}
 		some := func(name string) []*modelGateway {
 			if rapid.Bool().Draw(t, "all "+name) {
 				return d.gateways
@@ -168,12 +177,12 @@
 func TestExtraOfManyGatewaysThatStartCutOff(t *testing.T) {
 	const gateways, cutOff = 103, 51
 	d := newModelDeployment(gateways)
-	for second := range 18 {
+	for second := range 20 {
 		for i, g := range d.gateways[gateways-cutOff:] {
-			if second == 1 {
+			if second == 3 {
 				g.part = 1 + i
 			}
-			if second == 1 || second == 5 {
+			if second == 3 || second == 7 {
 				d.start(g, false)
 			}
 		}
--- a/internal/peers/census.go
+++ b/internal/peers/census.go
@@ -16,8 +16,9 @@
 // sooner, the rest could be cut again, and both a half of the rest and the others could hear from most of those that they count.
 
 const (
-	// settleAfterStart is how long a process that starts later than its deployment runs until it is expected to know all others.
-	settleAfterStart = time.Minute
+	// settleAfterStart is how long a process that starts later than its deployment runs until it is expected to know all others, and they it.
+	// At the first start of the deployment all know each other after settleAfterFirstStart: none was cut off before.
+	settleAfterStart, settleAfterFirstStart = time.Minute, presentMaxAge
 	// countedMemory is how long a process that is not heard from is counted.
 	countedMemory = time.Hour
 	// maxCounted bounds the processes counted. With more of them there is no share.
@@ -32,11 +33,11 @@
 
 // newCensus returns the census of a process that has just started. first is whether the whole deployment starts for the first time.
 func newCensus(first bool) *census {
-	c := &census{heard: make(map[netip.Addr]domain.Instant)}
-	if !first {
-		c.settledAt = domain.Instant(0).Add(settleAfterStart)
+	settle := settleAfterStart
+	if first {
+		settle = settleAfterFirstStart
 	}
-	return c
+	return &census{settledAt: domain.Instant(0).Add(settle), heard: make(map[netip.Addr]domain.Instant)}
 }
 
 // record records that another process ran at a time.
@@ -79,7 +80,7 @@
 	return d
 }
 
-// SetFirstStart records that the whole deployment starts for the first time, so that this process knows of no fewer others than they of it.
+// SetFirstStart records that the whole deployment starts for the first time. It is called before any message is recorded.
 func (m *Members) SetFirstStart() { m.census = newCensus(true) }
 
 // Divide returns among how many processes a bound over all of them is divided.
--- a/internal/peers/census_test.go
+++ b/internal/peers/census_test.go
@@ -27,7 +27,7 @@
 		hears(large, now, 2, 6)
 		hears(small, now, 2, 4)
 		l, s := large.divide(now, nil), small.divide(now, nil)
-		if time.Duration(now) > presentMaxAge+time.Second {
+		if time.Duration(now) > settleAfterFirstStart+time.Second {
 			assert.DeepEqual(t, s, Division{Processes: 10, Heard: 4})
 			assert.DeepEqual(t, l, Division{Processes: 10, Heard: 6, Share: true})
 		}
@@ -44,6 +44,11 @@
 		hears(c, now, 2, 5)
 		assert.Equal(t, c.divide(now, seeds).Share, now > instant(settleAfterStart), "at %s", time.Duration(now))
 	}
+	first := newCensus(true)
+	for _, now := range []domain.Instant{instant(settleAfterFirstStart - time.Second), instant(settleAfterFirstStart + time.Second)} {
+		hears(first, now, 2, 5)
+		assert.Equal(t, first.divide(now, seeds).Share, now > instant(settleAfterFirstStart))
+	}
 	assert.DeepEqual(t, newCensus(false).divide(1, nil), Division{Processes: 1, Heard: 1, Share: true})
 	assert.Assert(t, !newCensus(true).divide(1, seeds).Share, "it hears from none of two")
 }
@@ -75,7 +80,7 @@
 		for i := range processes {
 			processes[i] = newCensus(true)
 		}
-		for range 5 {
+		for time.Duration(now) < 2*settleAfterFirstStart {
 			tick()
 		}
 		for range rapid.IntRange(1, 8).Draw(t, "cuts") {
