--- a/internal/endpointconn/pool.go
+++ b/internal/endpointconn/pool.go
@@ -22,9 +22,9 @@
 }
 
 const (
-	// reservedShare is the part of the connections to all endpoints, a quarter, that is left to those with few of them, and crowdedShare the part, an eighth,
-	// from which on an endpoint has many: one that does not answer must not take all.
-	reservedShare, crowdedShare = 4, 8
+	// An endpoint with an eighth of the connections to all has many of them, and leaves the last quarter to others: one that does not answer must not
+	// take all.
+	crowdedDivisor, reservedDivisor = 8, 4
 )
 
 // ErrFull means that the limit of connections to an endpoint has been reached.
@@ -166,7 +166,7 @@
 	return c
 }
 
-// reserve counts a new connection as open, or returns ErrFull or ErrAllFull. A limit of 0 means no limit.
+// reserve counts a new connection as open, or returns ErrFull, also if the endpoint has to leave the rest to others, or ErrAllFull. A limit of 0 means no limit.
 func (p *Pool) reserve(key Key, limit int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -177,7 +177,7 @@
 	if p.limit > 0 && p.open >= p.limit {
 		return ErrAllFull
 	}
-	if conns != nil && conns.open >= max(1, p.limit/crowdedShare) && p.limit > 0 && p.open >= p.limit-p.limit/reservedShare {
+	if conns != nil && p.isCrowded(conns) {
 		return ErrFull
 	}
 	if conns == nil {
@@ -190,6 +190,11 @@
 	return nil
 }
 
+// isCrowded reports whether an endpoint has so many connections that it has to leave the rest to others. The caller must hold p.mu.
+func (p *Pool) isCrowded(conns *endpointConns) bool {
+	return p.limit > 0 && p.open >= p.limit-p.limit/reservedDivisor && conns.open >= max(1, p.limit/crowdedDivisor)
+}
+
 // evictIdle closes an idle connection if there are as many as SetLimit allows, and reports whether it did.
 func (p *Pool) evictIdle() bool {
 	p.mu.Lock()
--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -15,12 +15,12 @@
 	Bodies Share = iota
 	Answers
 	shareCount
-	// AnswerHeads are a part of Answers with a bound of its own, answerHeadsShare.
+	// AnswerHeads are a part of Answers with a bound of its own, a half of it.
 	AnswerHeads
 )
 
-// answerHeadsShare is the part of Answers that heads may take, one half.
-const answerHeadsShare = 2
+// answerHeadsDivisor divides the limit of Answers for heads.
+const answerHeadsDivisor = 2
 
 // phase is what happens to the bytes of a holder.
 type phase uint8
@@ -84,7 +84,7 @@
 	limits  Limits
 	used    [shareCount]int64
 	freeing [shareCount]int64 // held by holders that are shed
-	heads   int64             // used by AnswerHeads
+	heads   int64             // bytes that AnswerHeads have
 	holders map[*Holder]struct{}
 	waiting []*Holder // answers before bodies, each in the order of their wishes
 }
@@ -113,7 +113,7 @@
 // Take asks for bytes, as the transfer of a holder has made progress. While it waits, the holder may not ask again.
 func (b *Budget) Take(now domain.Instant, h *Holder, n int64) (Outcome, Changes) {
 	var changes Changes
-	if h.shed || h.isHead && b.limits.Answers > 0 && b.heads+n > b.limits.Answers/answerHeadsShare {
+	if h.shed || h.isHead && b.limits.Answers > 0 && b.heads+n > b.limits.Answers/answerHeadsDivisor {
 		return Refused, changes
 	}
 	h.moved, h.progressed = h.held, now
--- a/internal/placement/endless.go
+++ b/internal/placement/endless.go
@@ -24,15 +24,15 @@
 	if s.endless < endlessLimit {
 		return 0
 	}
-	length := minEndlessPause
-	for range s.endless - endlessLimit {
-		length = min(2*length, maxEndlessPause)
-	}
-	// Several requests may end with one pause.
 	if now < s.pause.until {
+		// It was sent before the endpoint was spared.
 		s.endless--
 		return 0
 	}
+	length := minEndlessPause
+	for range s.endless - endlessLimit {
+		length = min(2*length, maxEndlessPause)
+	}
 	t.RecordPause(now, ticket, length)
 	return length
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -111,19 +110,6 @@
 	gone        bool // whether the process is gone and connections are accepted nevertheless
 }
 
-// Arrival is a request that reached a replica, executed or not.
-type Arrival struct {
-	At time.Time
-	// ID identifies the client's request; all attempts of a gateway to answer it have the same.
-	ID     string
-	Target string // request target as received
-	Header http.Header
-	// Limit is the limit that the response named; 0 if it named none.
-	Limit float64
-	// Pause is the number of seconds for which the replica asked to get no request; 0 if it did not.
-	Pause float64
-}
-
 // Start starts a replica on a loopback address of its own, at which it can start again after a crash. It runs until Stop.
 func Start(id string) (*Replica, error) {
 	r := &Replica{ID: id, address: loopback.Address(), delay: time.Millisecond, born: FirstBorn, outage: Outage{Time: crashDowntime}, conns: make(map[net.Conn]bool), refusals: make(map[net.Conn]string)}
@@ -317,13 +303,6 @@
 	return strings.ReplaceAll(r.takeUp, "ID", request.Header.Get("X-Attempt-Id"))
 }
 
-// Arrivals returns the requests for this replica so far, oldest first.
-func (r *Replica) Arrivals() []Arrival {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Arrival(nil), r.arrivals...)
-}
-
 // Executions returns the requests executed so far, oldest first.
 func (r *Replica) Executions() []Execution {
 	r.mu.Lock()
@@ -425,6 +404,9 @@
 	if r.crashOnTarget(request, delay) {
 		return false
 	}
+	if r.answerWithoutEnd(conn, id, fault) {
+		return false
+	}
 	switch fault {
 	case Reset:
 		resetOnClose(conn)
@@ -433,16 +415,6 @@
 		// Blocks until the client closes the connection.
 		_, _ = io.Copy(io.Discard, conn)
 		return false
-	case EndlessHead:
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n")
-		return writeEndless(conn, "X-Filler: "+strings.Repeat("x", endlessPiece)+"\r\n")
-	case StalledHead:
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+shortFields(60_000))
-		_, _ = io.Copy(io.Discard, conn)
-		return false
-	case EndlessBody:
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.ID)
-		return writeEndless(conn, endlessChunk)
 	case MalformedResponse:
 		fmt.Fprint(conn, "\x00\x01\x02 no answer\r\n\r\n")
 		return false
@@ -476,62 +448,3 @@
 	r.mu.Unlock()
 	fmt.Fprint(conn, refusal)
 }
-
-// shortFields returns header lines of different names, of a few bytes each, up to a size in bytes.
-func shortFields(size int) string {
-	var b strings.Builder
-	for n := 0; b.Len() < size; n++ {
-		b.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
-	}
-	return b.String()
-}
-
-// endlessPiece is the size in bytes of the pieces that are sent without end.
-const endlessPiece = 16 << 10
-
-var endlessChunk = fmt.Sprintf("%x\r\n%s\r\n", endlessPiece, strings.Repeat("x", endlessPiece))
-
-// writeEndless writes a piece until the client closes the connection. It returns false, as the connection must
-// be closed then.
-func writeEndless(conn net.Conn, piece string) bool {
-	for {
-		if _, err := io.WriteString(conn, piece); err != nil {
-			return false
-		}
-	}
-}
-
-// saysLeaving reports whether the answer to a request says that the replica leaves. The caller must
-// hold r.mu.
-func (r *Replica) saysLeaving(request *http.Request) bool {
-	switch r.leaving {
-	case LeavingEverywhere:
-		return true
-	case LeavingInRefusals:
-		return r.fault == NotRun
-	case LeavingInStreams:
-		return r.fault != NotRun && strings.HasPrefix(request.URL.Path, "/stream/")
-	default:
-		return false
-	}
-}
-
-// recordArrival records a request and returns the header lines of what its response says of the
-// replica: its pause, that it leaves, and its limit.
-func (r *Replica) recordArrival(request *http.Request) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Header: request.Header, Limit: r.limit})
-	lines := r.extra
-	if r.fault == NotRun && r.pause > 0 {
-		r.arrivals[len(r.arrivals)-1].Pause = r.pause
-		lines += fmt.Sprintf("Retry-After: %g\r\n", r.pause)
-	}
-	if r.saysLeaving(request) {
-		lines += "Server-Leaving: 1\r\n"
-	}
-	if r.limit > 0 {
-		lines += fmt.Sprintf("Server-Limit: %g\r\n", r.limit)
-	}
-	return lines
-}
