--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -257,7 +257,7 @@
 // an answer that breaks off is never forwarded and can be retried.
 func (a *attempt) bufferAnswer(response *http.Response) (attemptEnd, placement.Result, *endpointconn.CompletedAnswer) {
 	g, c := a.gateway, a.call
-	body := g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
+	body := g.openAnswer(c, a.conn, response.ContentLength < 0)
 	err := errTooLong
 	if response.ContentLength <= maxAnswerBytes {
 		err = body.readFrom(c.http.Context(), response.Body, response.ContentLength, maxAnswerBytes)
@@ -268,6 +268,9 @@
 	if err == nil && endpointconn.IsUnframed(response) {
 		err = a.confirmEnd()
 	}
+	if err != nil && body.wasShed() {
+		err = errNoMemory
+	}
 	if err != nil {
 		body.close()
 	}
--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
+	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/memorylimit"
 )
 
@@ -45,10 +46,12 @@
 	guard  *byteGuard
 	holder *memorylimit.Holder
 	abort  func() // makes the transfer that goes on fail; may be called by others
-	pieces [][]byte
-	size   int64
-	result chan bool // of a wait; nil outside of one
-	closed bool
+	// abortArrival replaces abort while the bytes arrive; nil if abort does that too.
+	abortArrival func()
+	pieces       [][]byte
+	size         int64
+	result       chan bool // of a wait; nil outside of one
+	closed       bool
 }
 
 // open returns an empty heldBytes. The user calls close when it is done.
@@ -60,6 +63,18 @@
 	return h
 }
 
+// openAnswer returns an empty heldBytes for an answer to a call that arrives on a connection. openEnded is whether it says no end.
+func (g *Gateway) openAnswer(c *call, conn *endpointconn.Conn, openEnded bool) *heldBytes {
+	h := g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
+	if openEnded {
+		g.bytes.mu.Lock()
+		defer g.bytes.mu.Unlock()
+		h.abortArrival = conn.Abort
+		h.holder.SetOpenEnded()
+	}
+	return h
+}
+
 // apply tells holders what became of them. The caller must not hold g.mu.
 func (g *byteGuard) apply(changes memorylimit.Changes) {
 	tell := func(holder *memorylimit.Holder, granted bool) *heldBytes {
@@ -91,7 +106,14 @@
 				reason = shedAnswer
 			}
 			g.closed.count(reason)
-			h.abort()
+			g.mu.Lock()
+			arrives := holder.Receiving()
+			g.mu.Unlock()
+			if arrives && h.abortArrival != nil {
+				h.abortArrival()
+			} else {
+				h.abort()
+			}
 		}
 	}
 }
@@ -209,6 +231,9 @@
 
 // wasShed reports whether the bytes have to be given back.
 func (h *heldBytes) wasShed() bool {
+	if h == nil {
+		return false
+	}
 	h.guard.mu.Lock()
 	defer h.guard.mu.Unlock()
 	return h.holder.Shed()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,10 +30,18 @@
 	c := a.call
 	s := &eventStream{attempt: a, header: response.Header, unframed: endpointconn.IsUnframed(response), continues: c.headSent}
 	err := s.copy(response.Body)
+	shed := s.held.wasShed()
 	s.held.close()
+	if err == nil && shed {
+		// The connection is about to be aborted.
+		return attemptAnswered, placement.ResultServed, nil
+	}
 	if err == nil {
 		return attemptAnswered, placement.ResultServed, completedAnswer(response)
 	}
+	if shed {
+		err = errors.Wrapf(errNoMemory, "step=read stream peer=%s: event of %d bytes", a.key.Address, len(s.pending))
+	}
 	c.cause = err.Error()
 	c.eventBegun = c.eventBegun && s.events == 0 || len(s.pending) > 0
 	if errors.Is(err, errNotContinued) {
@@ -114,7 +122,7 @@
 	}
 	c, g := s.attempt.call, s.attempt.gateway
 	if s.held == nil {
-		s.held = g.bytes.open(memorylimit.Answers, c.rank == 0, func() { g.callerConns.abort(c.http) })
+		s.held = g.openAnswer(c, s.attempt.conn, true)
 	}
 	for s.held.holder.Held() < 2*int64(len(s.pending)) {
 		if err := s.held.take(c.http.Context(), memorylimit.SmallBytes); err != nil {
--- a/internal/memorylimit/budget.go
+++ b/internal/memorylimit/budget.go
@@ -36,6 +36,7 @@
 	Owner             any // the caller's own
 	share             Share
 	isHead            bool // see AnswerHeads
+	openEnded         bool // whether an answer says no end
 	urgent            bool
 	phase             phase
 	began, progressed domain.Instant // began is the begin of the transfer that goes on
@@ -65,6 +66,12 @@
 	return max(now.Sub(h.progressed), now.Sub(h.began)-h.waited-due)
 }
 
+// SetOpenEnded records that an answer says no end: it gives way to small ones.
+func (h *Holder) SetOpenEnded() { h.openEnded = true }
+
+// Receiving reports whether the bytes of the holder arrive.
+func (h *Holder) Receiving() bool { return h.phase == receiving }
+
 // Outcome is what became of a wish for bytes.
 type Outcome uint8
 
--- a/internal/memorylimit/budget_test.go
+++ b/internal/memorylimit/budget_test.go
@@ -249,3 +249,31 @@
 	assert.Assert(t, l.Conns.Conns >= 800 && l.Conns.Conns+l.EndpointConns+fileDescriptors < 3075)
 	assert.DeepEqual(t, Divide(0, 0), Limits{Answers: defaultAnswers})
 }
+
+// Guards against small answers that are refused because answers without end hold the memory: the largest of these gives way.
+func TestAnswersWithoutEndKeepSmallOnesOut(t *testing.T) {
+	b := NewBudget(Limits{Answers: 1 << 20, Bytes: 2 << 20, ReservedAnswers: 128 << 10})
+	var endless []*Holder
+	for {
+		h := b.Open(0, Answers, false)
+		h.SetOpenEnded()
+		_, _ = b.Take(0, h, SmallBytes)
+		outcome, changes := b.Take(0, h, 200<<10)
+		if outcome != Granted {
+			assert.Assert(t, outcome == Refused && len(changes.Shed) == 0, "a large answer without end sheds others")
+			break
+		}
+	}
+	var small *Holder
+	for {
+		small = b.Open(0, Answers, false)
+		if outcome, changes := b.Take(0, small, 16<<10); outcome != Granted {
+			assert.Equal(t, outcome, Waiting)
+			assert.Assert(t, len(changes.Shed) == 1 && changes.Shed[0].openEnded && changes.Shed[0].held > SmallBytes)
+			endless = changes.Shed
+			break
+		}
+	}
+	changes := b.Close(0, endless[0])
+	assert.Assert(t, len(changes.Granted) == 1 && changes.Granted[0] == small)
+}
--- a/internal/memorylimit/shed.go
+++ b/internal/memorylimit/shed.go
@@ -6,6 +6,8 @@
 // read. Transfers that lag behind are closed first, those that hold the most for the longest time before others. If
 // all bodies move, the last one to begin gives way to those before it, so that the oldest come to their end and no two
 // wait for each other. An answer, whose request has run, comes before bodies that arrive. A complete body is never shed: its request may have run.
+//
+// Endpoints can send answers without end, fast or slowly. A small answer goes before a large one that says no end.
 
 // shedFor marks the holders that have to give their bytes back so that h can have n more after those that wait before it.
 // It returns false and sheds none if all that may give way do not hold enough.
@@ -62,11 +64,27 @@
 		return b.youngest(h)
 	}
 	if !sameShare {
-		return b.youngestForAnswer()
+		if last := b.youngestForAnswer(); last != nil {
+			return last
+		}
+	}
+	if h.held < SmallBytes {
+		return b.largestOpenEnded()
 	}
 	return nil
 }
 
+// largestOpenEnded returns the answer that holds the most of those that are large, arrive and say no end; nil if there is none.
+func (b *Budget) largestOpenEnded() *Holder {
+	var largest *Holder
+	for v := range b.holders {
+		if v.openEnded && v.phase == receiving && !v.shed && v.held > SmallBytes && (largest == nil || v.held > largest.held || v.held == largest.held && v.began > largest.began) {
+			largest = v
+		}
+	}
+	return largest
+}
+
 // youngestForAnswer returns the body that began to arrive last, nil if none arrives. Less urgent ones come first.
 func (b *Budget) youngestForAnswer() *Holder {
 	var last *Holder
--- a/internal/standin/replica/endless.go
+++ b/internal/standin/replica/endless.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // answerWithoutEnd answers a request by a fault whose head or body doesn't end, until the client closes the connection. It reports whether the
@@ -19,14 +20,27 @@
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+shortFields(stalledHeadBytes))
 		_, _ = io.Copy(io.Discard, conn) // ends with the connection
 		return true
-	case EndlessBody:
+	case EndlessBody, SlowBody:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.ID)
-		return !writeEndless(conn, endlessChunk)
+		if fault == EndlessBody {
+			return !writeEndless(conn, endlessChunk)
+		}
+		for {
+			if _, err := io.WriteString(conn, slowChunk); err != nil {
+				return true
+			}
+			time.Sleep(slowInterval)
+		}
 	default:
 		return false
 	}
 }
 
+// slowChunk is what SlowBody sends in each slowInterval.
+var slowChunk = fmt.Sprintf("%x\r\n%s\r\n", endlessPiece/2, strings.Repeat("x", endlessPiece/2))
+
+const slowInterval = 10 * time.Millisecond
+
 // stalledHeadBytes is the size of the part of a head before it stops.
 const stalledHeadBytes = 60_000
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -36,6 +36,7 @@
 	EndlessHead       Fault = "endless-head"    // sends header lines until the client closes the connection
 	StalledHead       Fault = "stalled-head"    // sends a head of 60 KB in lines of a few bytes and stops before its end
 	EndlessBody       Fault = "endless-body"    // sends a plain body until the client closes the connection
+	SlowBody          Fault = "slow-body"       // as EndlessBody, 8 KiB each 10 ms
 	EndlessRefusal    Fault = "endless-not-run" // NotRun, with a body as of EndlessBody
 	UnframedStream    Fault = "unframed-stream" // ends a stream by closing the connection, without length or chunks
 	EmptyStream       Fault = "empty-stream"    // as UnframedStream, before the first event
