--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -48,7 +48,11 @@
 	answer.sentAt = time.Now()
 	ctx, cancel := context.WithTimeout(brk, c.timeout)
 	defer cancel()
-	defer func() { w.logf("client: %s to %s: %v", c.id, m.name, answer) }()
+	defer func() {
+		if !w.quiet {
+			w.logf("client: %s to %s: %v", c.id, m.name, answer)
+		}
+	}()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.address(frontPort)+c.path, strings.NewReader(c.body))
 	if err != nil {
 		answer.err = err
--- a/review/stand2/crowd.go
+++ b/review/stand2/crowd.go
@@ -21,6 +21,8 @@
 	// ordinaryClients each send a request each half second, on a new channel.
 	ordinaryClients = 10
 	leastTrying     = 7
+	// grownContactTime is contact_ms of the grown sites, whose page has the rule.
+	grownContactTime = 4 * time.Second
 )
 
 // channelTry is a new channel that a client opened. taken is whether the machine answered on it or kept it for heldTime.
@@ -113,7 +115,7 @@
 	if servedBefore.Load() == 0 {
 		return false, fmt.Errorf("no ordinary request is served before the crowd")
 	}
-	return gap > contactTime && trying >= leastTrying && unready == 0, nil
+	return gap > grownContactTime && trying >= leastTrying && unready == 0, nil
 }
 
 // slowClient opens a channel, sends a request slowly, and opens the next one when the channel ends.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,6 +27,10 @@
 	"first-event":      playFirstEvent,
 	"all-killed":       playAllKilled,
 	"old-copy":         playOldCopy,
+	"silent-store":     playSilentStore,
+	"odd-entry":        playOddEntry,
+	"many-parts":       playManyParts,
+	"last-tenant":      playLastTenant,
 	"slow-crowd":       playSlowCrowd,
 }
 
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -41,6 +41,7 @@
 	conns    map[net.Conn]bool
 	born     int64
 	running  int
+	leaving  bool // whether it says in its answers that it leaves
 	stopped  bool
 }
 
@@ -170,19 +171,30 @@
 	return r.crashPart != "" && slices.ContainsFunc(entries[:len(entries)-1], func(entry string) bool { return strings.HasPrefix(entry, r.crashPart+":") })
 }
 
-// respond answers a request. It returns false if the connection has to be closed.
-func (r *replica) respond(conn net.Conn, request *http.Request) bool {
-	r.mu.Lock()
-	born, running := r.born, r.running
-	r.mu.Unlock()
-	load := fmt.Sprintf("X-Replica-Load: %d,0,64\r\n", running)
-	switch request.URL.Path {
+// tell answers a question of the replica itself and reports whether it was one.
+func (r *replica) tell(conn net.Conn, path, load string, running int, born int64) bool {
+	switch path {
 	case "/api/report":
 		body := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"call_seq":0,"queued":0,"running":%d,"kv_used":0,"kv_total":369436,"handles":0,"born":%d}`, running, born)
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		return true
 	case "/health":
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Replica-Id: %s\r\n%sContent-Length: 0\r\n\r\n", r.id, load)
+	default:
+		return false
+	}
+	return true
+}
+
+// respond answers a request. It returns false if the connection has to be closed.
+func (r *replica) respond(conn net.Conn, request *http.Request) bool {
+	r.mu.Lock()
+	born, running, leaving := r.born, r.running, r.leaving
+	r.mu.Unlock()
+	load := fmt.Sprintf("X-Replica-Load: %d,0,64\r\n", running)
+	if leaving {
+		load += "Server-Leaving: 1\r\n"
+	}
+	if r.tell(conn, request.URL.Path, load, running, born) {
 		return true
 	}
 	id, h := request.Header.Get("X-Attempt-Id"), request.Header
@@ -235,6 +247,9 @@
 
 // arrived records the arrival of a request at a replica.
 func (w *world) arrived(a arrival) {
+	if w.quiet {
+		return
+	}
 	w.logf("replica %s gets %s from machine %s: %s parts %s after %q", a.replica, a.id, a.machine, a.target, a.parts, a.after)
 	w.mu.Lock()
 	defer w.mu.Unlock()
