--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
   echo "not built: run the build line of deploy/system.toml and review/build-2.sh"
   exit 2
 fi
-target/review-2/stand2 two-shared-parts review/7
+target/review-2/stand2 two-shared-parts review/8
