--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,6 +28,7 @@
 	"silent-store":     playSilentStore,
 	"odd-entry":        playOddEntry,
 	"many-parts":       playManyParts,
+	"killed-blames":    playKilledBlames,
 	"last-tenant":      playLastTenant,
 	"slow-crowd":       playSlowCrowd,
 }
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -32,7 +32,9 @@
 	crashPart string
 	// crashTarget is the target of requests that crash it when it has begun to run them: the first token is out. Empty for none.
 	crashTarget string
-	downTime    time.Duration // from a crash to the next start, under the same ID
+	// crashEarly is whether the first token is still in the replica then.
+	crashEarly bool
+	downTime   time.Duration // from a crash to the next start, under the same ID
 	// pause is for how long the replica wants no request from a machine that it refuses; 0 if it refuses none.
 	pause time.Duration
 
@@ -226,6 +228,10 @@
 	}
 	time.Sleep(r.eventTime) // the prompt is read
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: seal-%s-%s\r\n%sX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, r.id, id, load)
+	if r.crashEarly && request.RequestURI == r.crashTarget {
+		r.crash("request " + id)
+		return false
+	}
 	if r.hasCrashPart(a.parts) {
 		r.crash("a part of " + id)
 		return false
