--- a/review/stand2/silent.go
+++ b/review/stand2/silent.go
@@ -23,7 +23,7 @@
 			return false, err
 		}
 	}
-	if err := w.relayStore(); err != nil {
+	if err := w.linkStore(); err != nil {
 		return false, err
 	}
 	m := w.addMachine("pumphouse")
@@ -40,7 +40,7 @@
 	time.Sleep(700 * time.Millisecond)
 	silentAt := time.Now()
 	if trouble {
-		w.link.DropBoth()
+		w.link.silence()
 		w.logf("the open channels to the store are silent from now on; new ones work")
 	}
 	time.Sleep(800 * time.Millisecond)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -17,7 +17,6 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/loopback"
 	"github.com/dunlinpulley/dunlinpulley/internal/standin/metastore"
-	"github.com/dunlinpulley/dunlinpulley/internal/standin/relay"
 )
 
 // Bounds of the settings, as on the sheet of phmswa-tours.
@@ -65,7 +64,7 @@
 	began    time.Time
 	store    *metastore.Store
 	listener net.Listener
-	link     *relay.Relay // between the machines and the store; nil for none
+	link     *link // between the machines and the store; nil for none
 	machines []*machine
 	replicas []*replica
 	version  int64
@@ -106,9 +105,9 @@
 	return w, nil
 }
 
-// relayStore puts a relay between the machines and the store.
-func (w *world) relayStore() error {
-	link, err := relay.Start(loopback.Address(), w.listener.Addr().String())
+// linkStore puts a link between the machines and the store.
+func (w *world) linkStore() error {
+	link, err := startLink(loopback.Address(), w.listener.Addr().String())
 	w.link = link
 	return err
 }
@@ -116,7 +115,7 @@
 // storeAddress returns the address at which machines reach the store.
 func (w *world) storeAddress() string {
 	if w.link != nil {
-		return w.link.Address()
+		return w.link.listener.Addr().String()
 	}
 	return w.listener.Addr().String()
 }
@@ -139,7 +138,7 @@
 		r.stop()
 	}
 	if w.link != nil {
-		w.link.Close()
+		w.link.close()
 	}
 	closeQuietly(w.listener)
 	if err := os.RemoveAll(w.dir); err != nil {
