review: case 14, a crowd that sends bodies slowly keeps all others out

Looked at: which connections a gateway closes for a new one when it has as many as its memory allows. One whose client sends a byte a second is never closed.

Done: review/14 with a script: one router with 134 MiB, 1,200 clients that send a byte each 0.4 s, and ten ordinary clients.

--- a/review/stand4/main.go
+++ b/review/stand4/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, trouble bool) verdict{
 	"11": manyParts,
 	"12": revokedAfterReturn,
+	"14": slowCrowd,
 }
 
 func main() {
