review: case 15, OPTIONS * is answered 200 without a replica

Looked at: which requests net/http answers before the gateway sees them.

Done: review/15 with a script: one request for the target * beside ordinary ones.

--- a/review/stand4/main.go
+++ b/review/stand4/main.go
@@ -23,6 +23,7 @@
 	"11": manyParts,
 	"12": revokedAfterReturn,
 	"14": slowCrowd,
+	"15": ownSuccess,
 }
 
 func main() {
