review: case 12, a part after 512 others crashes replicas without end

Looked at: the bounds of internal/crashblame. Of the requests that are lost in a crash it suspects the first 512 parts, in the order of the prompt.

Done: review/12 with a script: two routers, eight replicas, and one request a second whose prompt has a part that crashes replicas after 560 others.

--- a/review/stand4/main.go
+++ b/review/stand4/main.go
@@ -21,6 +21,7 @@
 // cases are the scripts by the number of their folder.
 var cases = map[string]func(w *world, trouble bool) verdict{
 	"11": lastTenant,
+	"12": latePart,
 	"15": ownSuccess,
 }
 
