review: case 13, streams begin at a version that is taken for another one

Looked at: where the software version of a stream comes from. It is that of the endpoint's entry, and the process is confirmed before the first event only if several versions have served lately, so not at the first start of a new one.

Done: review/13 with a script: three routers, three replicas of which one comes back at another version under its id and crashes again, five times.

--- a/review/stand4/main.go
+++ b/review/stand4/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, trouble bool) verdict{
 	"11": lastTenant,
 	"12": latePart,
+	"13": firstStart,
 	"14": outageAndKill,
 	"15": ownSuccess,
 }
--- a/review/stand4/router.go
+++ b/review/stand4/router.go
@@ -109,7 +109,7 @@
 	}
 	r.started = true
 	r.cmd = exec.Command(r.program, r.arguments...)
-	r.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=/tmp", "DUNLINPULLEY_CONFIG=" + r.settings}
+	r.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.TempDir(), "DUNLINPULLEY_CONFIG=" + r.settings}
 	r.cmd.Stdout, r.cmd.Stderr = r.output, r.output
 	if err := r.cmd.Start(); err != nil {
 		return err
