CONFIG: a door that has had client accounts stays closed without them

Cause: the decoder made the same empty slice of an empty list of client accounts and of a missing field, and routing.New derived from the length of the list whether requests need keys. Ruled out: a configuration that is not in force (unknown keys ran too).

Change: the list says whether it is there. Once a configuration with a list was in force, keys stay required under each later one, also if the list is left out; peers hear of that with the confirmation of the configuration, only while the one in force has no list.

--- a/internal/confirmation/confirmation.go
+++ b/internal/confirmation/confirmation.go
@@ -19,6 +19,8 @@
 type Confirmation struct {
 	Version int64
 	At      StoreTime
+	// KeyRequired is whether requests need keys although the configuration has no list of client accounts, as an earlier one had.
+	KeyRequired bool
 }
 
 // Newer reports whether c says more than other: a later version, or the same one at a
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,7 +131,10 @@
 		}
 		return g.reject(c, http.StatusNotFound, "no route")
 	}
-	if c.config.RequiresKey && !c.route.Public {
+	if !c.route.Public && g.keyRequirementUnknown(c.config) {
+		return g.reject(c, http.StatusServiceUnavailable, "not known yet whether keys are required")
+	}
+	if !c.route.Public && g.requiresKey(c.config) {
 		if !confirmed {
 			return g.reject(c, http.StatusServiceUnavailable, "keys not confirmed")
 		}
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -48,13 +48,20 @@
 // Confirmation returns the newest confirmation of the configuration that is known here.
 func (g *Gateway) Confirmation() confirmation.Confirmation {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.confirmed
+	c := g.confirmed
+	g.mu.Unlock()
+	config := g.config.Load()
+	c.KeyRequired = g.keyRequired.Load() && (config == nil || !config.RequiresKey)
+	return c
 }
 
 // PeerConfirmation applies a confirmation that a peer knows. If it is of a later
 // configuration than the current one, that is read.
 func (g *Gateway) PeerConfirmation(peer string, c confirmation.Confirmation) {
+	if c.KeyRequired {
+		g.recordKeyRequirement(peer)
+		c.KeyRequired = false
+	}
 	config := g.config.Load()
 	if config == nil || c.At.Millis <= 0 {
 		return
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -29,7 +29,7 @@
 func newTestGateway(version int64) (*Gateway, *countingSource) {
 	source := &countingSource{}
 	g := New(Settings{KeyValidity: 5 * time.Second}, nil, source)
-	g.ConfigurationRead(routing.New(version, routing.Limits{}, nil, nil, nil))
+	g.ConfigurationRead(routing.New(version, routing.Limits{}, nil, nil, routing.AccountList{}))
 	return g, source
 }
 
@@ -59,7 +59,7 @@
 		g, source := newTestGateway(7)
 		g.StoreAnswered(bootclock.Now(), confirmation.StoreTime{Era: 1, Millis: storeNow})
 		if c.storedVersionLow {
-			g.ConfigurationRead(routing.New(6, routing.Limits{}, nil, nil, nil))
+			g.ConfigurationRead(routing.New(6, routing.Limits{}, nil, nil, routing.AccountList{}))
 		}
 		g.PeerConfirmation("p", c.confirmed)
 		assert.Equal(t, g.validity.Valid(bootclock.Now()), c.valid, name)
@@ -75,12 +75,12 @@
 func TestRestoredStoreConfirmsNothing(t *testing.T) {
 	g, _ := newTestGateway(7)
 	g.ConfigurationRestored()
-	g.ConfigurationRead(routing.New(6, routing.Limits{}, nil, nil, nil))
+	g.ConfigurationRead(routing.New(6, routing.Limits{}, nil, nil, routing.AccountList{}))
 	assert.Equal(t, g.config.Load().Version, int64(7), "an earlier configuration was applied")
 	later := bootclock.Now() + time.Minute
 	g.ConfigurationConfirmed(later, confirmation.StoreTime{Era: 2, Millis: 1})
 	assert.Assert(t, !g.validity.Valid(later))
-	g.ConfigurationRead(routing.New(7, routing.Limits{}, nil, nil, nil))
+	g.ConfigurationRead(routing.New(7, routing.Limits{}, nil, nil, routing.AccountList{}))
 	g.ConfigurationConfirmed(bootclock.Now(), confirmation.StoreTime{Era: 2, Millis: 1})
 	assert.Assert(t, !g.validity.Valid(bootclock.Now()), "confirmed at once after the return")
 	g.ConfigurationConfirmed(later, confirmation.StoreTime{Era: 2, Millis: 1})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	started     time.Time
 
 	config       atomic.Pointer[routing.Config]
+	keyRequired  atomic.Bool // whether a configuration with a list of client accounts is or was in force; it stays so
 	stopping     atomic.Bool
 	registryRead atomic.Bool   // whether the registry has been read at least once
 	registryRole atomic.Uint32 // registryrelay.Role
@@ -260,7 +261,8 @@
 // isReady reports whether the gateway should receive new connections: it is not
 // stopping, has read the registry, and has a configuration with valid keys.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && g.registryRead.Load() && g.config.Load() != nil && g.validity.Valid(bootclock.Now())
+	config := g.config.Load()
+	return !g.stopping.Load() && g.registryRead.Load() && config != nil && !g.keyRequirementUnknown(config) && g.validity.Valid(bootclock.Now())
 }
 
 // now returns the time since the gateway was created.
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -33,6 +33,9 @@
 		g.mu.Unlock()
 		return
 	}
+	if c.RequiresKey {
+		g.recordKeyRequirement("")
+	}
 	g.config.Store(c)
 	for name, service := range c.Services {
 		if service.Engine != nil {
@@ -40,7 +43,8 @@
 		}
 	}
 	g.mu.Unlock()
-	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "routes", c.Routes(), "keyed", c.RequiresKey)
+	klog.InfoS("configuration in force", "version", c.Version, "services", len(c.Services), "routes", c.Routes(), "keyed", g.requiresKey(c),
+		"accounts_listed", c.RequiresKey, "keys", c.Keys())
 }
 
 // Endpoint adds or updates an endpoint from its registry entry and cancels a
--- a/internal/peers/encoding.go
+++ b/internal/peers/encoding.go
@@ -22,11 +22,12 @@
 // encodeConfirmation adds the newest confirmation of the configuration to a message.
 func encodeConfirmation(d *pb.Digest, c confirmation.Confirmation) {
 	d.ConfirmedVersion, d.ConfirmedEra, d.ConfirmedAt = uint64(c.Version), uint64(c.At.Era), uint64(c.At.Millis)
+	d.KeyRequired = c.KeyRequired
 }
 
 // decodeConfirmation returns the confirmation in a message.
 func decodeConfirmation(d *pb.Digest) confirmation.Confirmation {
-	return confirmation.Confirmation{Version: int64(d.ConfirmedVersion), At: confirmation.StoreTime{Era: int64(d.ConfirmedEra), Millis: int64(d.ConfirmedAt)}}
+	return confirmation.Confirmation{Version: int64(d.ConfirmedVersion), At: confirmation.StoreTime{Era: int64(d.ConfirmedEra), Millis: int64(d.ConfirmedAt)}, KeyRequired: d.KeyRequired}
 }
 
 // encodeRegistryConfirmation adds the newest confirmation of the registry to a message.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -113,7 +113,8 @@
 	Version  int64
 	Limits   Limits
 	Services map[string]*Service
-	// RequiresKey is whether requests need the key of an account.
+	// RequiresKey is whether requests need the key of an account. It follows from the list of accounts being there, not from its
+	// length: a list that has lost its last account or key admits nobody.
 	RequiresKey bool
 
 	routes   map[string]*hostRoutes
@@ -122,14 +123,20 @@
 	routeTierCount int
 }
 
+// AccountList is the list of client accounts of a configuration. Present tells an empty list from none; nil slices don't.
+type AccountList struct {
+	Present  bool
+	Accounts []*Account
+}
+
 // New returns a configuration with indexes of the routes by host and of the
 // accounts by key.
-func New(version int64, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Config {
+func New(version int64, limits Limits, routes []*Route, services []*Service, accounts AccountList) *Config {
 	c := &Config{
 		Version:     version,
 		Limits:      limits,
 		Services:    make(map[string]*Service, len(services)),
-		RequiresKey: len(accounts) > 0,
+		RequiresKey: accounts.Present,
 		routes:      make(map[string]*hostRoutes),
 		accounts:    make(map[string]*Account),
 	}
@@ -144,7 +151,7 @@
 		c.routes[host].add(r)
 		c.routeTierCount = max(c.routeTierCount, r.Tier+1)
 	}
-	for _, a := range accounts {
+	for _, a := range accounts.Accounts {
 		for _, key := range a.Keys {
 			c.accounts[key] = a
 		}
@@ -161,6 +168,9 @@
 	return n
 }
 
+// Keys returns the number of keys of client accounts.
+func (c *Config) Keys() int { return len(c.accounts) }
+
 // Match returns the route of a host with the longest prefix of a path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	if h := c.routes[canonicalHost(host)]; h != nil {
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -18,7 +18,7 @@
 		{Name: "second", Keys: []string{"k3"}, Tier: 1, HasTier: true},
 		{Name: "plain", Keys: []string{"k4"}},
 	}
-	return New(7, Limits{}, routes, []*Service{{Name: "s"}}, accounts)
+	return New(7, Limits{}, routes, []*Service{{Name: "s"}}, AccountList{Present: true, Accounts: accounts})
 }
 
 func TestLongestPrefixWins(t *testing.T) {
--- a/internal/routing/hostroutes_test.go
+++ b/internal/routing/hostroutes_test.go
@@ -24,7 +24,7 @@
 				want = r
 			}
 		}
-		got := New(1, Limits{}, routes, nil, nil).Match("a.example", path)
+		got := New(1, Limits{}, routes, nil, AccountList{}).Match("a.example", path)
 		assert.Assert(t, got == want, "path %q: %v, want %v", path, got, want)
 	})
 }
@@ -37,7 +37,7 @@
 				routes = append(routes, &Route{Name: fmt.Sprint(i), Host: "a.example", Prefix: fmt.Sprintf("/area-%d/idle%d/", i%7, i)})
 			}
 			routes = append(routes, &Route{Name: "used", Host: "a.example", Prefix: "/used/"})
-			c := New(1, Limits{}, routes, nil, nil)
+			c := New(1, Limits{}, routes, nil, AccountList{})
 			for b.Loop() {
 				if c.Match("a.example:80", "/used/by/callers") == nil {
 					b.Fatal("no route")
