ORDER: a stream begins only at a process that is confirmed

Cause: the version of a stream follows from the endpoint's registry entry, which may be older than its process: between two calls for changes up to 0.6 s. The process was asked for its start before the first event only in doubt, which the first start at a new version does not raise. Ruled out: the second endpoint of the stream, as connections on which streams go on are confirmed already.

Change: each connection that carries resumable streams is confirmed, as a stream begins and as it goes on. DoubtsEntries has no use any more.

The check of DoubtsEntries in TestNothingIsSureAfterStandstill is replaced by one that is stricter: the process must be confirmed at any time, not only after a standstill.

--- a/internal/gateway/endpointprocess.go
+++ b/internal/gateway/endpointprocess.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
-	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 )
 
 const (
@@ -19,21 +18,11 @@
 )
 
 // needsConfirmation reports whether it has to be made sure that the process behind a connection is
-// the one in the registry entry: the software version of a stream follows from the entry, which
-// may be older than the process. Endpoints without a start never start again under their
-// identifier. A stream that goes on at a version always needs it, as the first start of an endpoint at a
-// new version is not expected.
+// the one in the registry entry: the software version of a stream, as it begins and as it goes on, follows from the entry, which
+// may be older than the process. No reading of the registry rules out that an endpoint has just started again at another version. One
+// without a start never starts again under its identifier.
 func (a *attempt) needsConfirmation() bool {
-	g, e := a.gateway, a.ticket.Endpoint
-	if !a.call.route.Resumable || e.Start == 0 || a.conn.Confirmed {
-		return false
-	}
-	if a.call.version != 0 {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.serviceVersions.DoubtsEntries(g.now(), placement.ServiceHash(e.Service), g.registryCurrent())
+	return a.call.route.Resumable && a.ticket.Endpoint.Start != 0 && !a.conn.Confirmed
 }
 
 // confirmProcess asks the endpoint when its process has started and compares that with the
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -8,12 +8,14 @@
 
 	"github.com/dunlinpulley/dunlinpulley/internal/bootclock"
 	"github.com/dunlinpulley/dunlinpulley/internal/confirmation"
+	"github.com/dunlinpulley/dunlinpulley/internal/endpointconn"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
+	"github.com/dunlinpulley/dunlinpulley/internal/routing"
 	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
 )
 
 // Guards against streams that go on at another version after a process stood still: from its first moment on, until the
-// registry is confirmed as of later, it must not be sure of the versions of a service, nor of the entries of endpoints.
+// registry is confirmed as of later, it must not be sure of the versions of a service. The processes of endpoints are confirmed at any time.
 func TestNothingIsSureAfterStandstill(t *testing.T) {
 	const era = 1
 	g, _ := newTestGateway(1)
@@ -30,9 +32,12 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		state, _ := g.serviceVersions.State(g.now(), service, g.registryCurrent())
-		doubts := g.serviceVersions.DoubtsEntries(g.now(), service, g.registryCurrent())
-		assert.Equal(t, doubts, state != streamversions.StateSole)
-		return !doubts
+		a := &attempt{
+			gateway: g, call: &call{route: &routing.Route{Resumable: true}}, conn: &endpointconn.Conn{},
+			ticket: &placement.Ticket{Endpoint: placement.Endpoint{ID: "i-1", Service: "app", Version: "v1", Start: 1}},
+		}
+		assert.Assert(t, a.needsConfirmation(), "a stream may begin at a process that is not confirmed")
+		return state == streamversions.StateSole
 	}
 	tick := func() {
 		g.mu.Lock()
--- a/internal/streamversions/services.go
+++ b/internal/streamversions/services.go
@@ -1,8 +1,6 @@
 package streamversions
 
 import (
-	"time"
-
 	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 )
 
@@ -121,7 +119,7 @@
 // begun at another process, for a caller with a longer one. It also returns the version if only one is
 // known. current is whether the registry can be read.
 func (s *Services) State(now domain.Instant, service uint32, current bool) (State, Version) {
-	only, several := s.versions(now, service, MaxLeft)
+	only, several := s.versions(now, service)
 	knowsBefore := s.nothingBefore || s.adopted[service] || now.Sub(s.readAt) >= MaxLeft
 	switch {
 	case several:
@@ -133,20 +131,9 @@
 	}
 }
 
-// entryDoubt is how long after another version has served an endpoint may start again at it under its identifier.
-const entryDoubt = 15 * time.Second
-
-// DoubtsEntries reports whether endpoints of a service may be at other versions than their registry entries say: several
-// have served lately, or the entries may be out of date.
-func (s *Services) DoubtsEntries(now domain.Instant, service uint32, current bool) bool {
-	only, several := s.versions(now, service, entryDoubt)
-	knowsBefore := s.nothingBefore || s.adopted[service] || now.Sub(s.readAt) >= entryDoubt
-	return several || only == 0 || !current || !s.read || !knowsBefore
-}
-
-// versions returns the only version that endpoints of a service have, or had until less than a time ago; 0 if there
+// versions returns the only version that endpoints of a service have, or had until less than MaxLeft ago; 0 if there
 // is none, or several.
-func (s *Services) versions(now domain.Instant, service uint32, within time.Duration) (only Version, several bool) {
+func (s *Services) versions(now domain.Instant, service uint32) (only Version, several bool) {
 	for _, e := range s.endpoints {
 		if e.service != service {
 			continue
@@ -157,7 +144,7 @@
 		only = e.version
 	}
 	for e, at := range s.gone {
-		if e.service != service || now.Sub(at) > within {
+		if e.service != service || now.Sub(at) > MaxLeft {
 			continue
 		}
 		if only != 0 && only != e.version {
