LOST: streams of a gateway that ends in an outage of the store go on

Cause: streams of a service with one version were recorded at one process only. What stood in for the record, the knowledge that no other version had served, was discarded by all gateways alike at each gap of 4 s between two readings of the registry, although it stays true of the time before the gap. Ruled out: that the missing record is all (without the outage all go on), and telling peers once the outage is seen (a gateway can end before that).

Change: peers are told of each stream as it begins, one while the service has had one version, two otherwise. A gap leaves unknown only what can have come and gone in it: services whose endpoints have other processes than before it, and all if an entry was removed that was never read. ORDER holds as records are of confirmed processes, and as doubt is per entry and ends only with the same process.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -137,6 +137,8 @@
 	// RegistryRestored reports that the store came back from a copy, in which entries may
 	// be missing. Calls of EndpointRestored and EndpointRemoved follow.
 	RegistryRestored()
+	// EntriesUnseen reports that entries may have come and gone since the last RegistryConfirmed that were never read.
+	EntriesUnseen()
 	// EndpointRemoved reports that an endpoint has no valid registry entry any more.
 	EndpointRemoved(id string)
 	// RegistryConfirmed reports that all registry entries up to now have been applied, and which version of the registry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	asker              confirmation.Asker
 	streams            *streamversions.Records
 	serviceVersions    *streamversions.Services
-	untoldStreams      []streamversions.Record // of which peers have not been told yet
+	untoldStreams      []untoldStream
 	streamQuestions    map[streamversions.Stream][]*streamQuestion
 	historyAskedAt     domain.Instant // when peers were last asked by askHistory
 	crashes            *crashblame.Ledger
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -75,6 +75,7 @@
 		g.departures.Gone(now, id, e.Start)
 	}
 	delete(g.heldEntries, id)
+	g.serviceVersions.Lapsed(id)
 	deferred := g.registryDoubted()
 	if deferred {
 		if _, ok := g.pendingRemovals[id]; !ok {
--- a/internal/gateway/registryreading.go
+++ b/internal/gateway/registryreading.go
@@ -28,10 +28,11 @@
 	later chan struct{}
 }
 
-// applied records that all changes up to a time are applied, and reports whether changes may have been missed since the time before.
-func (r *registryReading) applied(at time.Duration) (missed bool) {
+// applied records that all changes up to a time are applied. later is whether that is a later time than before, and missed whether changes
+// may have come and gone unseen in between.
+func (r *registryReading) applied(at time.Duration) (later, missed bool) {
 	if at <= r.asOf {
-		return false
+		return false, false
 	}
 	missed = r.asOf > 0 && at-r.asOf > maxRegistryGap
 	r.asOf = at
@@ -39,7 +40,7 @@
 		close(r.later)
 		r.later = nil
 	}
-	return missed
+	return true, missed
 }
 
 // next returns a channel that is closed at the next later reading.
@@ -67,18 +68,24 @@
 	}
 	g.standstill.confirmed(at)
 	before := g.registryReading.asOf
-	if g.registryReading.applied(at) {
-		g.missRegistryChanges()
-		klog.InfoS("registry changes may have been missed", "for", at-before)
+	later, missed := g.registryReading.applied(at)
+	switch {
+	case missed:
+		g.serviceVersions.Missed(g.now())
+		g.tellAllStreams(g.now())
+		klog.InfoS("registry changes may have been missed", "for", at-before, "services_unsure", len(g.serviceVersions.Unsure(g.now(), true)))
+	case later:
+		g.serviceVersions.Followed()
 	}
 }
 
-// missRegistryChanges records that versions of endpoints may have come and gone unseen. Peers are told of the streams that run: from now on,
-// other processes can't tell their versions from what this one knows. The caller must hold g.mu.
-func (g *Gateway) missRegistryChanges() {
-	now := g.now()
-	g.serviceVersions.Missed(now)
-	g.untoldStreams = append(g.untoldStreams, g.streams.All(now)...)
+// EntriesUnseen records that entries may have come and gone that were never read.
+func (g *Gateway) EntriesUnseen() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.serviceVersions.MissedEntries(g.now())
+	g.tellAllStreams(g.now())
+	klog.InfoS("registry entries unseen")
 }
 
 // awaitRegistry waits until the registry has been applied as of a boot-clock time, and asks the store for that. It reports false if that
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -51,7 +51,8 @@
 func (g *Gateway) RegistryRestored() {
 	g.mu.Lock()
 	g.registryRegainedAt = g.now()
-	g.missRegistryChanges()
+	g.serviceVersions.MissedEntries(g.registryRegainedAt)
+	g.tellAllStreams(g.registryRegainedAt)
 	g.mu.Unlock()
 	klog.InfoS("store restored", "table", "registry")
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/dunlinpulley/dunlinpulley/internal/bootclock"
+	"github.com/dunlinpulley/dunlinpulley/internal/domain"
 	"github.com/dunlinpulley/dunlinpulley/internal/peers"
 	"github.com/dunlinpulley/dunlinpulley/internal/placement"
 	"github.com/dunlinpulley/dunlinpulley/internal/streamversions"
@@ -203,9 +204,15 @@
 	return newStreamPeers(candidates)
 }
 
+// untoldStream is a record of which peers have not been told, and how many of them are to be.
+type untoldStream struct {
+	streamversions.Record
+	copies int
+}
+
 // recordStream records the version of the endpoint that sends the events of a resumable stream, before
-// the first of them is forwarded. Peers are told of it, unless the service has had no other
-// version for as long as a stream can live.
+// the first of them is forwarded. Peers are told of it at the next tick, however many versions the service has: nobody knows when this
+// process ends, nor what comes to serve while the registry can't be read.
 func (g *Gateway) recordStream(c *call, e placement.Endpoint) {
 	if !c.route.Resumable || c.streamRecorded {
 		return
@@ -219,8 +226,18 @@
 		g.instruments.streamsNotRecorded.Inc(1)
 		return
 	}
-	if state, _ := g.serviceVersions.State(g.now(), placement.ServiceHash(e.Service), g.registryCurrent()); state != streamversions.StateSole {
-		g.untoldStreams = append(g.untoldStreams, record)
+	copies := streamversions.Copies
+	if state, _ := g.serviceVersions.State(g.now(), placement.ServiceHash(e.Service), g.registryCurrent()); state == streamversions.StateSole {
+		copies = streamversions.CopiesOfSole
+	}
+	g.untoldStreams = append(g.untoldStreams, untoldStream{record, copies})
+}
+
+// tellAllStreams has peers told of all streams that may be taken up, as their versions can't be told any more from what serves. The caller must
+// hold g.mu.
+func (g *Gateway) tellAllStreams(now domain.Instant) {
+	for _, r := range g.streams.All(now) {
+		g.untoldStreams = append(g.untoldStreams, untoldStream{r, streamversions.Copies})
 	}
 }
 
@@ -235,8 +252,8 @@
 	}
 	keepers, byPeer := g.streamKeepers(), make(map[netip.Addr][]streamversions.Record)
 	for _, r := range records {
-		for _, peer := range keepers.choose(r.Stream, streamversions.Copies) {
-			byPeer[peer] = append(byPeer[peer], r)
+		for _, peer := range keepers.choose(r.Stream, r.copies) {
+			byPeer[peer] = append(byPeer[peer], r.Record)
 		}
 	}
 	for peer, list := range byPeer {
@@ -294,11 +311,11 @@
 func (g *Gateway) putVersion(e placement.Endpoint) {
 	now, service := g.now(), placement.ServiceHash(e.Service)
 	before, _ := g.serviceVersions.State(now, service, g.registryCurrent())
-	g.serviceVersions.Put(now, e.ID, service, streamversions.VersionOf(e.Version))
+	g.serviceVersions.Put(now, e.ID, streamversions.Process{Service: service, Version: streamversions.VersionOf(e.Version), Start: e.Start})
 	after, _ := g.serviceVersions.State(now, service, g.registryCurrent())
 	if before == streamversions.StateSole && after == streamversions.StateMixed {
 		klog.InfoS("service has several versions", "service", e.Service, "endpoint", e.ID, "version", e.Version)
-		g.untoldStreams = append(g.untoldStreams, g.streams.All(now)...)
+		g.tellAllStreams(now)
 	}
 }
 
--- a/internal/streamversions/owners.go
+++ b/internal/streamversions/owners.go
@@ -10,6 +10,8 @@
 const (
 	// Copies is the number of peers that are told of a stream, besides the process at which it began.
 	Copies = 2
+	// CopiesOfSole is the same while the service has had one version, which is what decides if the record is lost.
+	CopiesOfSole = 1
 	// MaxAsked is the number of peers that are asked for a stream. It exceeds Copies, as the
 	// peers that are told and those that are asked are chosen by processes which may not know
 	// of the same peers.
